--- a/src/clock.h
+++ b/src/clock.h
@@ -14,4 +14,10 @@
     return std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now());
 }
 
+/** A time that never jumps, for spans within one process. Its epoch is the VM's own, so it never travels. */
+inline TimePoint monotonicTime()
+{
+    return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+}
+
 }
--- a/src/eventlog.cpp
+++ b/src/eventlog.cpp
@@ -1,9 +1,11 @@
 /** \file
- * Structured log lines over glog.
+ * Structured log lines through spdlog's asynchronous logger, whose bounded ring drops the oldest lines when it is full.
  */
 #include "eventlog.h"
 
-#include <glog/logging.h>
+#include <spdlog/async.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
 
 namespace Cyclamenturn
 {
@@ -11,6 +13,9 @@
 namespace
 {
 
+/** Lines that may wait for standard output; about a minute of a busy gateway's decisions. */
+constexpr std::size_t RING_LINES = 8192;
+
 bool needsQuotes(const std::string &value)
 {
     return value.empty() || value.find_first_of(" =\"\n") != std::string::npos;
@@ -40,13 +45,13 @@
 {
     switch (m_level) {
     case Level::Info:
-        LOG(INFO) << m_line;
+        spdlog::info(m_line);
         break;
     case Level::Warning:
-        LOG(WARNING) << m_line;
+        spdlog::warn(m_line);
         break;
     case Level::Error:
-        LOG(ERROR) << m_line;
+        spdlog::error(m_line);
         break;
     }
 }
@@ -67,10 +72,24 @@
     return field(name, std::to_string(value));
 }
 
-void startLogging(const char *program)
+void startLogging()
+{
+    spdlog::init_thread_pool(RING_LINES, 1);
+    auto logger = spdlog::create_async_nb<spdlog::sinks::stdout_sink_st>("cyclamenturn");
+    logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%fZ level=%l %v", spdlog::pattern_time_type::utc);
+    logger->flush_on(spdlog::level::info);
+    spdlog::set_default_logger(std::move(logger));
+}
+
+void stopLogging()
+{
+    spdlog::shutdown();
+}
+
+std::size_t droppedLogLines()
 {
-    FLAGS_logtostderr = true;
-    google::InitGoogleLogging(program);
+    const auto pool = spdlog::thread_pool();
+    return pool ? pool->overrun_counter() : 0;
 }
 
 }
--- a/src/eventlog.h
+++ b/src/eventlog.h
@@ -1,8 +1,10 @@
 /** \file
- * Structured logs: one event a line, with key=value fields, through glog. Keys, secrets and prompt text never go in.
+ * Structured logs: one event a line, with key=value fields, through an asynchronous logger that never blocks
+ * its caller. Keys, secrets and prompt text never go in.
  */
 #pragma once
 
+#include <cstddef>
 #include <string>
 
 namespace Cyclamenturn
@@ -36,7 +38,11 @@
     std::string m_line;
 };
 
-/** Prepares glog to write to standard error. `program` is argv[0]. */
-void startLogging(const char *program);
+/** Starts the thread that writes lines to standard output. */
+void startLogging();
+/** Writes what is left and joins the thread. */
+void stopLogging();
+/** Lines lost so far because standard output took them too slowly. */
+std::size_t droppedLogLines();
 
 }
--- /dev/null
+++ b/src/gateway/admitrequest.cpp
@@ -0,0 +1,120 @@
+/** \file
+ * Admission of a request by the configuration in force.
+ */
+#include "admitrequest.h"
+
+#include <Poco/String.h>
+
+namespace Cyclamenturn
+{
+
+const char *toString(GatewayRefusal refusal)
+{
+    switch (refusal) {
+    case GatewayRefusal::NoConfiguration:
+        return "no_configuration";
+    case GatewayRefusal::UnknownRoute:
+        return "unknown_route";
+    case GatewayRefusal::UnknownKey:
+        return "unknown_key";
+    case GatewayRefusal::MissingId:
+        return "missing_id";
+    case GatewayRefusal::BadRequest:
+        return "bad_request";
+    case GatewayRefusal::NoEndpoint:
+        return "no_endpoint";
+    case GatewayRefusal::AllFull:
+        return "all_full";
+    case GatewayRefusal::Overloaded:
+        return "overloaded";
+    case GatewayRefusal::Quarantined:
+        return "quarantined";
+    case GatewayRefusal::TimedOutUnsent:
+        return "timed_out_unsent";
+    case GatewayRefusal::TimedOut:
+        return "timed_out";
+    case GatewayRefusal::EndpointLost:
+        return "endpoint_lost";
+    case GatewayRefusal::EndpointMalformed:
+        return "endpoint_malformed";
+    case GatewayRefusal::NotReached:
+        return "not_reached";
+    case GatewayRefusal::CallerLeft:
+        return "caller_left";
+    }
+    return "unknown";
+}
+
+int statusOf(GatewayRefusal refusal)
+{
+    switch (refusal) {
+    case GatewayRefusal::UnknownRoute:
+        return 404;
+    case GatewayRefusal::UnknownKey:
+        return 401;
+    case GatewayRefusal::MissingId:
+    case GatewayRefusal::BadRequest:
+        return 400;
+    case GatewayRefusal::TimedOut:
+        return 504;
+    case GatewayRefusal::EndpointLost:
+    case GatewayRefusal::EndpointMalformed:
+        return 502;
+    case GatewayRefusal::NoConfiguration:
+    case GatewayRefusal::NoEndpoint:
+    case GatewayRefusal::AllFull:
+    case GatewayRefusal::Overloaded:
+    case GatewayRefusal::Quarantined:
+    case GatewayRefusal::TimedOutUnsent:
+    case GatewayRefusal::NotReached:
+    case GatewayRefusal::CallerLeft:
+        return 503;
+    }
+    return 503;
+}
+
+std::string requestedHost(const HttpRequestHead &head)
+{
+    const std::string *host = head.fields.find("Host");
+    if (host == nullptr) {
+        return {};
+    }
+    return Poco::toLower(host->substr(0, host->find(':')));
+}
+
+std::string_view requestedPath(const HttpRequestHead &head)
+{
+    const std::string_view target = head.target;
+    return target.substr(0, target.find('?'));
+}
+
+AdmissionResult admitRequest(
+    const RoutingConfiguration *configuration, const HttpRequestHead &head, const RequestTraits &traits)
+{
+    if (configuration == nullptr) {
+        return GatewayRefusal::NoConfiguration;
+    }
+    if (head.target.empty() || head.target.front() != '/') {
+        return GatewayRefusal::BadRequest;
+    }
+    AdmittedRequest out;
+    out.route = configuration->findRoute(requestedHost(head), requestedPath(head));
+    if (out.route == nullptr) {
+        return GatewayRefusal::UnknownRoute;
+    }
+    out.priority = out.route->priority;
+    if (configuration->requiresKeys() && !out.route->isPublic) {
+        const CallerTeam *team = configuration->findTeam(traits.key);
+        if (team == nullptr) {
+            return GatewayRefusal::UnknownKey;
+        }
+        out.team = team->name;
+        out.priority = team->priority.value_or(out.priority);
+    }
+    if (traits.attemptId.empty()) {
+        return GatewayRefusal::MissingId;
+    }
+    return out;
+}
+
+}
--- /dev/null
+++ b/src/gateway/connectionpool.cpp
@@ -0,0 +1,101 @@
+/** \file
+ * Kept connections to endpoints.
+ */
+#include "connectionpool.h"
+
+#include <algorithm>
+
+namespace Cyclamenturn
+{
+
+namespace
+{
+
+/** A handshake within a region takes a few milliseconds; a lost packet is sent again after a second, which is too
+ * late for most requests, while another endpoint is at hand. */
+constexpr Duration CONNECT_TIMEOUT = milliseconds(250);
+constexpr HttpLimits ANSWER_LIMITS{65536, 16777216};
+/** Room for the endpoint to close an idle connection a little early. */
+constexpr Duration IDLE_MARGIN = milliseconds(700);
+/** More idle connections than this to one endpoint are left over from a burst. */
+constexpr std::size_t MOST_IDLE = 16;
+
+}
+
+ConnectionPool::ConnectionPool(EventLoop &loop)
+    : m_loop(loop)
+{
+}
+
+std::unique_ptr<HttpClientConnection> ConnectionPool::take(const EndpointRecord &record, int limit)
+{
+    Endpoint &endpoint = m_endpoints[record.id];
+    while (!endpoint.idle.empty()) {
+        Idle idle = std::move(endpoint.idle.back());
+        endpoint.idle.pop_back();
+        if (!idle.connection->isSpent() && m_loop.now() < idle.expiresAt) {
+            return std::move(idle.connection);
+        }
+        --endpoint.open;
+    }
+    if (endpoint.open >= limit) {
+        return nullptr;
+    }
+    ++endpoint.open;
+    ++m_opened;
+    return std::make_unique<HttpClientConnection>(m_loop, record.address, ANSWER_LIMITS, CONNECT_TIMEOUT);
+}
+
+void ConnectionPool::giveBack(
+    const std::string &endpointId, std::unique_ptr<HttpClientConnection> connection, Duration idleLimit)
+{
+    Endpoint &endpoint = m_endpoints[endpointId];
+    if (idleLimit <= IDLE_MARGIN) {
+        --endpoint.open;
+        return;
+    }
+    endpoint.idle.push_back({std::move(connection), m_loop.now() + idleLimit - IDLE_MARGIN});
+    if (endpoint.idle.size() > MOST_IDLE) {
+        dropFrontIdle(endpoint);
+    }
+}
+
+void ConnectionPool::dropFrontIdle(Endpoint &endpoint)
+{
+    endpoint.idle.pop_front();
+    --endpoint.open;
+}
+
+void ConnectionPool::noteClosed(const std::string &endpointId)
+{
+    const auto found = m_endpoints.find(endpointId);
+    if (found != m_endpoints.end()) {
+        found->second.open = std::max(0, found->second.open - 1);
+    }
+}
+
+void ConnectionPool::dropIdle(const std::string &endpointId)
+{
+    const auto found = m_endpoints.find(endpointId);
+    while (found != m_endpoints.end() && !found->second.idle.empty()) {
+        dropFrontIdle(found->second);
+    }
+}
+
+void ConnectionPool::expire(TimePoint now)
+{
+    for (auto it = m_endpoints.begin(); it != m_endpoints.end();) {
+        auto &idle = it->second.idle;
+        for (auto item = idle.begin(); item != idle.end();) {
+            if (now < item->expiresAt && !item->connection->isSpent()) {
+                ++item;
+                continue;
+            }
+            item = idle.erase(item);
+            --it->second.open;
+        }
+        it = it->second.open <= 0 ? m_endpoints.erase(it) : std::next(it);
+    }
+}
+
+}
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,202 @@
+/** \file
+ * One gateway process.
+ */
+#include "gateway.h"
+
+#include "eventlog.h"
+#include "requestflow.h"
+
+#include <algorithm>
+
+namespace Cyclamenturn
+{
+
+namespace
+{
+
+constexpr int OK = 200;
+constexpr int UNAVAILABLE = 503;
+constexpr Duration HOUSEKEEPING_INTERVAL = milliseconds(1000);
+/** The balancer asks once a second and takes a process out after two misses. */
+constexpr Duration BALANCER_NOTICE = milliseconds(2600);
+/** Left of the grace time for the process to end by itself. */
+constexpr Duration STOP_MARGIN = milliseconds(400);
+/** Connections that callers of one process may hold at an endpoint beyond its even part. */
+constexpr double CONNECTION_SHARE = 0.8;
+constexpr int LEAST_CONNECTIONS = 4;
+
+}
+
+Gateway::Gateway(
+    EventLoop &loop, const GatewaySettings &settings, const MessageCodec &messages, const StoreCodec &store)
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_messages(messages)
+    , m_placement(settings.placement, settings.failureDomain)
+    , m_pool(loop)
+    , m_retries(settings.retries)
+    , m_random(std::random_device{}())
+    , m_callers(loop, settings.callers,
+          [this](const auto &connection, ReceivedRequest request) { handleCaller(connection, std::move(request)); })
+    , m_readiness(
+          loop, settings.readiness, [this](const auto &connection, const ReceivedRequest &) { handleReadiness(connection); })
+    , m_metricsPage(
+          loop, settings.metrics, [this](const auto &connection, const ReceivedRequest &) { handleMetrics(connection); })
+    , m_store(loop, store, settings.store, settings.listInterval, *this)
+{
+}
+
+Gateway::~Gateway() = default;
+
+void Gateway::start()
+{
+    m_store.start();
+    housekeep();
+}
+
+void Gateway::reload(const GatewaySettings &settings)
+{
+    if (!(settings.store == m_settings.store)) {
+        m_store.setAddress(settings.store);
+    }
+    m_settings.store = settings.store;
+    m_settings.stopGrace = settings.stopGrace;
+    m_settings.assumedGateways = settings.assumedGateways;
+}
+
+void Gateway::beginStop()
+{
+    m_stopping = true;
+    m_stopBegan = m_loop.now();
+    m_callers.beginDrain();
+    LogEvent("stopping").field("busy_connections", static_cast<long long>(m_callers.busyConnections()));
+}
+
+bool Gateway::isStopped() const
+{
+    if (!m_stopping) {
+        return false;
+    }
+    const Duration since = m_loop.now() - m_stopBegan;
+    return since >= m_settings.stopGrace - STOP_MARGIN || (since >= BALANCER_NOTICE && m_callers.busyConnections() == 0);
+}
+
+int Gateway::connectionLimit(const std::string &service) const
+{
+    const ServiceProfile *profile = m_configuration ? m_configuration->findService(service) : nullptr;
+    if (profile == nullptr) {
+        return LEAST_CONNECTIONS;
+    }
+    return std::max(LEAST_CONNECTIONS, static_cast<int>(CONNECTION_SHARE * profile->maxConnections / gateways()));
+}
+
+double Gateway::draw()
+{
+    return std::uniform_real_distribution<double>(0, 1)(m_random);
+}
+
+bool Gateway::isReady() const
+{
+    return m_configuration && m_endpoints.readAt() && !m_stopping;
+}
+
+void Gateway::handleCaller(const HttpServerConnectionPtr &connection, ReceivedRequest request)
+{
+    const auto flow = std::make_shared<RequestFlow>(*this, connection, std::move(request));
+    m_flows.emplace(flow.get(), flow);
+    flow->start();
+}
+
+void Gateway::remove(RequestFlow *flow)
+{
+    const auto found = m_flows.find(flow);
+    if (found != m_flows.end()) {
+        m_loop.callAt(m_loop.now(), [kept = found->second] {});
+        m_flows.erase(found);
+    }
+}
+
+void Gateway::handleReadiness(const HttpServerConnectionPtr &connection)
+{
+    connection->sendAnswer({isReady() ? OK : UNAVAILABLE, "", {}}, isReady() ? "ready\n" : "not ready\n");
+}
+
+void Gateway::handleMetrics(const HttpServerConnectionPtr &connection)
+{
+    HttpResponseHead head{OK, "", {}};
+    head.fields.add("Content-Type", "text/plain; version=0.0.4");
+    connection->sendAnswer(std::move(head), m_metrics.render());
+}
+
+void Gateway::housekeep()
+{
+    const TimePoint now = m_loop.now();
+    m_pool.expire(now);
+    m_quarantine.expire(now);
+    m_metrics.set("cyclamenturn_store_calls", {}, static_cast<double>(m_store.calls()));
+    m_metrics.set("cyclamenturn_endpoint_connections_opened", {}, static_cast<double>(m_pool.opened()));
+    m_metrics.set("cyclamenturn_caller_connections", {}, static_cast<double>(m_callers.connections()));
+    m_loop.callAfter(HOUSEKEEPING_INTERVAL, [this] { housekeep(); });
+}
+
+void Gateway::configurationRead(RoutingConfigurationPtr configuration, std::uint64_t revision)
+{
+    const bool wasReady = isReady();
+    m_configuration = std::move(configuration);
+    m_configurationReadAt = m_loop.now();
+    const CallerLimits &limits = m_configuration->limits();
+    HttpServerLimits server;
+    server.message = {limits.headerBytes, limits.bodyBytes};
+    server.headerTimeout = limits.headerTimeout;
+    server.idleTimeout = limits.idleTimeout;
+    m_callers.setLimits(server);
+    m_metrics.set("cyclamenturn_configuration_version", {}, static_cast<double>(m_configuration->version()));
+    LogEvent("configuration_in_force")
+        .field("version", static_cast<long long>(m_configuration->version()))
+        .field("revision", static_cast<long long>(revision))
+        .field("routes", static_cast<long long>(m_configuration->routes().size()));
+    if (!wasReady && isReady()) {
+        LogEvent("ready");
+    }
+}
+
+void Gateway::endpointsRead(const std::vector<EndpointRecord> &list, std::uint64_t revision)
+{
+    const bool wasReady = isReady();
+    for (const auto &change : m_endpoints.apply(list, revision, m_loop.now())) {
+        const char *name = "endpoint_added";
+        switch (change.kind) {
+        case EndpointChange::Kind::Added:
+            break;
+        case EndpointChange::Kind::Restarted:
+            name = "endpoint_restarted";
+            m_pool.dropIdle(change.record.id);
+            m_standings.erase(change.record.id);
+            break;
+        case EndpointChange::Kind::Leaving:
+            name = "endpoint_leaving";
+            m_pool.dropIdle(change.record.id);
+            break;
+        case EndpointChange::Kind::Gone:
+            name = "endpoint_gone";
+            m_pool.dropIdle(change.record.id);
+            m_standings.erase(change.record.id);
+            break;
+        }
+        LogEvent(name)
+            .field("endpoint", change.record.id)
+            .field("service", change.record.service)
+            .field("address", toString(change.record.address))
+            .field("revision", static_cast<long long>(revision));
+    }
+    if (!wasReady && isReady()) {
+        LogEvent("ready");
+    }
+}
+
+void Gateway::endpointsReadFailed()
+{
+    m_endpoints.noteReadFailed();
+}
+
+}
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,134 @@
+/** \file
+ * One gateway process: takes callers' requests and carries them to endpoints. Holds what its requests share.
+ */
+#pragma once
+
+#include "connectionpool.h"
+#include "crashquarantine.h"
+#include "endpointdirectory.h"
+#include "endpointstanding.h"
+#include "gatewaysettings.h"
+#include "messagecodec.h"
+#include "placement.h"
+#include "retrywindow.h"
+#include "storelink.h"
+
+#include "metrics.h"
+#include "transport/httpserver.h"
+
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+
+namespace Cyclamenturn
+{
+
+class RequestFlow;
+
+class Gateway : private StoreLinkListener
+{
+public:
+    Gateway(EventLoop &loop, const GatewaySettings &settings, const MessageCodec &messages, const StoreCodec &store);
+    ~Gateway() override;
+
+    void start();
+    /** Takes over settings that may change while the process runs. */
+    void reload(const GatewaySettings &settings);
+    /** Reports not ready, and makes each answer the last on its connection. */
+    void beginStop();
+    /** Whether everything is done after beginStop(), or the grace time is nearly over. */
+    bool isStopped() const;
+
+    EventLoop &loop()
+    {
+        return m_loop;
+    }
+    const MessageCodec &messages() const
+    {
+        return m_messages;
+    }
+    RoutingConfigurationPtr configuration() const
+    {
+        return m_configuration;
+    }
+    TimePoint configurationReadAt() const
+    {
+        return m_configurationReadAt;
+    }
+    const EndpointDirectory &endpoints() const
+    {
+        return m_endpoints;
+    }
+    EndpointStanding &standing(const std::string &endpointId)
+    {
+        return m_standings[endpointId];
+    }
+    PlacementChooser &placement()
+    {
+        return m_placement;
+    }
+    ConnectionPool &pool()
+    {
+        return m_pool;
+    }
+    RetryWindow &retries()
+    {
+        return m_retries;
+    }
+    CrashQuarantine &quarantine()
+    {
+        return m_quarantine;
+    }
+    Metrics &metrics()
+    {
+        return m_metrics;
+    }
+    /** Gateways that share the fleet's limits. */
+    int gateways() const
+    {
+        return m_settings.assumedGateways;
+    }
+    /** This process's part of the connections that an endpoint accepts. */
+    int connectionLimit(const std::string &service) const;
+    /** Uniform in [0, 1). */
+    double draw();
+
+    /** Destroys a flow in the next turn of the loop. */
+    void remove(RequestFlow *flow);
+
+private:
+    void configurationRead(RoutingConfigurationPtr configuration, std::uint64_t revision) override;
+    void endpointsRead(const std::vector<EndpointRecord> &list, std::uint64_t revision) override;
+    void endpointsReadFailed() override;
+
+    void handleCaller(const HttpServerConnectionPtr &connection, ReceivedRequest request);
+    void handleReadiness(const HttpServerConnectionPtr &connection);
+    void handleMetrics(const HttpServerConnectionPtr &connection);
+    void housekeep();
+    bool isReady() const;
+
+    EventLoop &m_loop;
+    GatewaySettings m_settings;
+    const MessageCodec &m_messages;
+    RoutingConfigurationPtr m_configuration;
+    TimePoint m_configurationReadAt;
+    EndpointDirectory m_endpoints;
+    /** By endpoint id; entries of endpoints that are gone are dropped. */
+    std::unordered_map<std::string, EndpointStanding> m_standings;
+    PlacementChooser m_placement;
+    ConnectionPool m_pool;
+    RetryWindow m_retries;
+    CrashQuarantine m_quarantine;
+    Metrics m_metrics;
+    std::mt19937_64 m_random;
+    std::unordered_map<RequestFlow *, std::shared_ptr<RequestFlow>> m_flows;
+    HttpServer m_callers;
+    HttpServer m_readiness;
+    HttpServer m_metricsPage;
+    StoreLink m_store;
+    bool m_stopping = false;
+    TimePoint m_stopBegan;
+};
+
+}
--- /dev/null
+++ b/src/gateway/gatewaysettings.cpp
@@ -0,0 +1,109 @@
+/** \file
+ * Reading of gateway settings.
+ */
+#include "gatewaysettings.h"
+
+#include "checkedtable.h"
+#include "errors.h"
+
+#include <fstream>
+#include <sstream>
+
+namespace Cyclamenturn
+{
+
+namespace
+{
+
+constexpr int DEFAULT_METRICS_PORT = 9102;
+constexpr std::int64_t MOST_MS = 3600000;
+constexpr std::int64_t DEFAULT_GRACE_MS = 8000;
+/** A third of the two seconds within which a leaving endpoint must get no more work, with time for a slow answer. */
+constexpr std::int64_t DEFAULT_LIST_INTERVAL_MS = 800;
+
+Address readAddress(CheckedTable &table, const std::string &key)
+{
+    try {
+        return addressFromString(table.text(key));
+    } catch (const UserError &error) {
+        table.fail(key, error.what());
+    }
+}
+
+PlacementRule readRule(CheckedTable &table)
+{
+    const std::string name = table.choice(
+        "rule", {"expected_time", "round_robin", "least_in_flight", "plain_hash"}, "expected_time");
+    if (name == "round_robin") {
+        return PlacementRule::RoundRobin;
+    }
+    if (name == "least_in_flight") {
+        return PlacementRule::LeastInFlight;
+    }
+    return name == "plain_hash" ? PlacementRule::PlainHash : PlacementRule::ExpectedTime;
+}
+
+void readPlacement(CheckedTable table, PlacementPolicy &policy)
+{
+    constexpr double MOST_COST_MS = 1e6;
+    policy.rule = readRule(table);
+    EngineCostModel &engine = policy.engine;
+    engine.prefillTokensPerMs = table.number("prefill_tokens_per_ms", 0.001, 1e9, engine.prefillTokensPerMs);
+    engine.runningCostMs = table.number("running_cost_ms", 0, MOST_COST_MS, engine.runningCostMs);
+    engine.waitingCostMs = table.number("waiting_cost_ms", 0, MOST_COST_MS, engine.waitingCostMs);
+    engine.firstEventMs = table.number("first_event_ms", 0, MOST_COST_MS, engine.firstEventMs);
+    policy.plainWorkMs = table.number("plain_work_ms", 0, MOST_COST_MS, policy.plainWorkMs);
+    policy.failureCostMs = table.number("failure_cost_ms", 0, MOST_COST_MS, policy.failureCostMs);
+    policy.crossDomainCostMs = table.number("cross_domain_cost_ms", 0, MOST_COST_MS, policy.crossDomainCostMs);
+    policy.cacheLife = table.span("cache_life_ms", 0, MOST_MS, toMilliseconds(policy.cacheLife));
+    table.finish();
+}
+
+void readRetries(CheckedTable table, RetryAllowance &retries)
+{
+    constexpr double MOST_SECONDS = 3600;
+    constexpr double MICROSECONDS_PER_SECOND = 1e6;
+    retries.ratio = table.number("ratio", 0, 1, retries.ratio);
+    retries.window = Duration(static_cast<std::int64_t>(
+        table.number("window_s", 0.1, MOST_SECONDS, 10) * MICROSECONDS_PER_SECOND));
+    retries.fleetSlack = table.number("fleet_slack", 0, 1e9, retries.fleetSlack);
+    retries.usedShare = table.number("used_share", 0, 1, retries.usedShare);
+    table.finish();
+}
+
+}
+
+GatewaySettings parseGatewaySettings(const std::string &text, const std::string &fileName)
+{
+    constexpr double MICROSECONDS_PER_SECOND = 1e6;
+    const toml::table document = parseToml(text, fileName);
+    CheckedTable root(document, fileName, "");
+    GatewaySettings out;
+    out.name = root.text("name");
+    out.failureDomain = root.text("failure_domain");
+    out.callers = readAddress(root, "callers");
+    out.readiness = readAddress(root, "readiness");
+    out.metrics = root.has("metrics") ? readAddress(root, "metrics") : Address{out.callers.host, DEFAULT_METRICS_PORT};
+    out.store = readAddress(root, "store");
+    out.stopGrace = Duration(static_cast<std::int64_t>(
+        root.number("stop_grace_s", 0.1, 3600, DEFAULT_GRACE_MS / 1000.0) * MICROSECONDS_PER_SECOND));
+    out.assumedGateways = static_cast<int>(root.integer("assumed_gateways", 1, 100000, out.assumedGateways));
+    out.listInterval = root.span("list_interval_ms", 50, MOST_MS, DEFAULT_LIST_INTERVAL_MS);
+    readRetries(root.table("retries"), out.retries);
+    readPlacement(root.table("placement"), out.placement);
+    root.finish();
+    return out;
+}
+
+GatewaySettings readGatewaySettings(const std::string &fileName)
+{
+    std::ifstream in(fileName);
+    if (!in) {
+        throw UserError(fileName + ": can't be read; check the path and its permissions");
+    }
+    std::stringstream text;
+    text << in.rdbuf();
+    return parseGatewaySettings(text.str(), fileName);
+}
+
+}
--- /dev/null
+++ b/src/gateway/placement.h
@@ -0,0 +1,86 @@
+/** \file
+ * Chooses the endpoint for one request. It answers load in which many requests share long prompt heads: an endpoint
+ * that has the head cached saves its prefill, until waiting there costs more than reading it again elsewhere.
+ */
+#pragma once
+
+#include "endpointdirectory.h"
+#include "endpointstanding.h"
+
+#include <string>
+#include <vector>
+
+namespace Cyclamenturn
+{
+
+enum class PlacementRule {
+    /** By expected time with cached prompts, waiting, speed and failures. */
+    ExpectedTime,
+    /** Baselines to measure against. */
+    RoundRobin,
+    LeastInFlight,
+    PlainHash,
+};
+
+/** How an engine spends its time. Defaults hold for the engines of the first deployments. */
+struct EngineCostModel
+{
+    double prefillTokensPerMs = 92;
+    /** Added to the time of everybody's tokens by one more running request, over the length of a usual answer. */
+    double runningCostMs = 4;
+    /** Time that one waiting request takes before its successor starts. */
+    double waitingCostMs = 40;
+    /** Before a first event even on an idle engine. */
+    double firstEventMs = 65;
+};
+
+struct PlacementPolicy
+{
+    PlacementRule rule = PlacementRule::ExpectedTime;
+    EngineCostModel engine;
+    /** Expected work of one request at a plain endpoint. */
+    double plainWorkMs = 20;
+    /** Time that one certain failure is taken to cost, to weigh failing endpoints against busy ones. */
+    double failureCostMs = 600;
+    /** Price of leaving the own failure domain; its links are slower and dearer. */
+    double crossDomainCostMs = 3;
+    /** How long parts of prompts are believed to stay in an engine's memory. */
+    Duration cacheLife = milliseconds(60000);
+};
+
+struct PlacementCandidate
+{
+    const EndpointRecord *record;
+    const EndpointStanding *standing;
+};
+
+struct Placement
+{
+    /** Null when there is no candidate. */
+    const EndpointRecord *endpoint = nullptr;
+    /** Tokens that the engine is expected to read. */
+    std::int64_t prefillTokens = 0;
+    double expectedMs = 0;
+};
+
+class PlacementChooser
+{
+public:
+    PlacementChooser(const PlacementPolicy &policy, std::string ownFailureDomain);
+
+    /** `draw` is uniform in [0, 1) and breaks ties. Suspect endpoints are left out while others remain. */
+    Placement choose(const std::vector<PlacementCandidate> &candidates, const PromptTraits *prompt, double draw,
+        TimePoint now);
+
+private:
+    Placement chooseByTime(
+        const std::vector<PlacementCandidate> &candidates, const PromptTraits *prompt, double draw, TimePoint now) const;
+    double expectedMs(const PlacementCandidate &candidate, const PromptTraits *prompt, std::int64_t prefill,
+        TimePoint now) const;
+
+    PlacementPolicy m_policy;
+    std::string m_ownFailureDomain;
+    std::size_t m_turn = 0;
+};
+
+}
--- /dev/null
+++ b/src/gateway/requestflow.h
@@ -0,0 +1,101 @@
+/** \file
+ * The way of one request: admission, placement, attempts at endpoints, and its answer.
+ */
+#pragma once
+
+#include "admitrequest.h"
+#include "eventsplitter.h"
+#include "placement.h"
+#include "resendpolicy.h"
+
+#include "transport/httpclientconnection.h"
+#include "transport/httpserverconnection.h"
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace Cyclamenturn
+{
+
+class Gateway;
+
+class RequestFlow : private ExchangeListener
+{
+public:
+    RequestFlow(Gateway &gateway, HttpServerConnectionPtr caller, ReceivedRequest request);
+    ~RequestFlow() override;
+
+    void start();
+
+private:
+    bool isOwnAnswer(const HttpResponseHead &head) override;
+    void headReceived(const HttpResponseHead &head) override;
+    void bodyReceived(std::string piece) override;
+    void exchangeDone(bool isReusable) override;
+    void exchangeFailed(ExchangeFailure failure) override;
+
+    void sendToEndpoint();
+    void startAttempt(const Placement &placement, std::unique_ptr<HttpClientConnection> connection);
+    void armSilenceTimer(Duration wait);
+    void silenceDetected();
+    void deadlineReached();
+    void callerLeft();
+
+    void passOnEvents(const std::string &piece);
+    void passOnEvent(const std::string &event);
+    void noteFirstAnswerByte();
+    void finishGoodStream();
+    void finishPlainAnswer();
+
+    /** Closes the attempt's connection or keeps it for others. */
+    void endAttempt(bool isReusable);
+    /** The attempt came to nothing: sends again or ends the request. */
+    void attemptFailed(AttemptEnd end, AttemptResult result, GatewayRefusal reason);
+    bool mayResend(AttemptEnd end);
+    void giveUp(AttemptEnd end, GatewayRefusal reason);
+
+    void refuse(GatewayRefusal refusal);
+    void answer(HttpResponseHead head, const std::string &body, const char *outcome);
+    void finish(int status, const char *outcome);
+    Duration timeLeft() const;
+    Duration silenceLimit() const;
+
+    Gateway &m_gateway;
+    HttpServerConnectionPtr m_caller;
+    ReceivedRequest m_request;
+    RequestTraits m_traits;
+    RoutingConfigurationPtr m_configuration;
+    AdmittedRequest m_admitted;
+    std::string m_service;
+    std::uint64_t m_fingerprint = 0;
+    TimePoint m_deadline;
+    EventLoop::Timer m_deadlineTimer;
+
+    /** The attempt in progress; no connection between attempts. */
+    std::unique_ptr<HttpClientConnection> m_connection;
+    EndpointRecord m_endpoint;
+    Placement m_placement;
+    TimePoint m_sentAt;
+    EventLoop::Timer m_silenceTimer;
+    HttpResponseHead m_answerHead;
+    AnswerTraits m_answerTraits;
+    std::string m_answerBody;
+    bool m_isEventStream = false;
+    bool m_firstByteSeen = false;
+
+    /** Endpoints that were tried, by id. */
+    std::set<std::string> m_tried;
+    /** Endpoints that may have taken up the request. */
+    int m_sends = 0;
+    /** Whether an endpoint may have run the request. */
+    bool m_mayHaveRun = false;
+    EventSplitter m_splitter;
+    std::string m_lastEventId;
+    int m_eventsDelivered = 0;
+    bool m_headDelivered = false;
+    bool m_finished = false;
+};
+
+}
--- /dev/null
+++ b/src/gateway/storecall.cpp
@@ -0,0 +1,99 @@
+/** \file
+ * Calls to the platform's store.
+ */
+#include "storecall.h"
+
+namespace Cyclamenturn
+{
+
+namespace
+{
+
+/** The store answers within a network round trip, so this is ample for a handshake and short for a lost packet. */
+constexpr Duration CONNECT_TIMEOUT = milliseconds(500);
+/** A value of the store has at most a megabyte, and a page about as much, in base64 with its frame. */
+constexpr std::size_t ANSWER_BYTES = 4194304;
+constexpr std::size_t HEADER_BYTES = 16384;
+
+}
+
+StoreCall::StoreCall(EventLoop &loop, const Address &address)
+    : m_loop(loop)
+    , m_address(address)
+{
+}
+
+StoreCall::~StoreCall()
+{
+    m_loop.cancel(m_timeout);
+}
+
+void StoreCall::begin(const HttpRequestHead &head, Duration timeout, Done done)
+{
+    cancel();
+    m_done = std::move(done);
+    m_status = 0;
+    m_body.clear();
+    if (!m_connection || m_connection->isSpent()) {
+        m_connection = std::make_unique<HttpClientConnection>(
+            m_loop, m_address, HttpLimits{HEADER_BYTES, ANSWER_BYTES}, CONNECT_TIMEOUT);
+    }
+    HttpRequestHead framed = head;
+    framed.fields.add("Host", toString(m_address));
+    m_timeout = m_loop.callAfter(timeout, [this] { finish(0); });
+    m_connection->send(framed, "", this);
+}
+
+void StoreCall::cancel()
+{
+    m_loop.cancel(m_timeout);
+    if (m_done) {
+        m_done = nullptr;
+        m_connection.reset();
+    }
+}
+
+bool StoreCall::isOwnAnswer(const HttpResponseHead &)
+{
+    return true;
+}
+
+void StoreCall::headReceived(const HttpResponseHead &head)
+{
+    m_status = head.status;
+}
+
+void StoreCall::bodyReceived(std::string piece)
+{
+    m_body += piece;
+}
+
+void StoreCall::exchangeDone(bool isReusable)
+{
+    if (!isReusable) {
+        m_connection.reset();
+    }
+    finish(m_status);
+}
+
+void StoreCall::exchangeFailed(ExchangeFailure)
+{
+    finish(0);
+}
+
+void StoreCall::finish(int status)
+{
+    m_loop.cancel(m_timeout);
+    if (status == 0) {
+        m_connection.reset();
+    }
+    const Done done = std::move(m_done);
+    m_done = nullptr;
+    const std::string body = std::move(m_body);
+    m_body.clear();
+    if (done) {
+        done(status, body);
+    }
+}
+
+}
--- /dev/null
+++ b/src/gateway/storecall.h
@@ -0,0 +1,45 @@
+/** \file
+ * One call at a time to the platform's store over a connection that is kept.
+ */
+#pragma once
+
+#include "transport/httpclientconnection.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Cyclamenturn
+{
+
+class StoreCall : private ExchangeListener
+{
+public:
+    /** `status` is 0 when no whole answer came in time. */
+    using Done = std::function<void(int status, const std::string &body)>;
+
+    StoreCall(EventLoop &loop, const Address &address);
+    ~StoreCall() override;
+
+    /** Starts a call; one that still runs is dropped without its answer. */
+    void begin(const HttpRequestHead &head, Duration timeout, Done done);
+    void cancel();
+
+private:
+    bool isOwnAnswer(const HttpResponseHead &head) override;
+    void headReceived(const HttpResponseHead &head) override;
+    void bodyReceived(std::string piece) override;
+    void exchangeDone(bool isReusable) override;
+    void exchangeFailed(ExchangeFailure failure) override;
+    void finish(int status);
+
+    EventLoop &m_loop;
+    Address m_address;
+    std::unique_ptr<HttpClientConnection> m_connection;
+    EventLoop::Timer m_timeout;
+    Done m_done;
+    int m_status = 0;
+    std::string m_body;
+};
+
+}
--- /dev/null
+++ b/src/gateway/storelink.h
@@ -0,0 +1,92 @@
+/** \file
+ * Keeps this process's copies of the configuration and of the list of endpoints close behind the platform's store.
+ */
+#pragma once
+
+#include "address.h"
+#include "messagecodec.h"
+
+#include "transport/eventloop.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Cyclamenturn
+{
+
+class StoreCall;
+
+/** What a StoreLink learns. */
+class StoreLinkListener
+{
+public:
+    virtual ~StoreLinkListener() = default;
+    virtual void configurationRead(RoutingConfigurationPtr configuration, std::uint64_t revision) = 0;
+    virtual void endpointsRead(const std::vector<EndpointRecord> &list, std::uint64_t revision) = 0;
+    virtual void endpointsReadFailed() = 0;
+};
+
+class StoreLink
+{
+public:
+    StoreLink(EventLoop &loop, const StoreCodec &codec, const Address &address, Duration listInterval,
+        StoreLinkListener &listener);
+    ~StoreLink();
+
+    void start();
+    void setAddress(const Address &address);
+    std::uint64_t calls() const
+    {
+        return m_calls;
+    }
+
+private:
+    /** Either duty against the store: its connection, and whether the store answers it. */
+    struct Duty
+    {
+        const char *name;
+        std::unique_ptr<StoreCall> call;
+        EventLoop::Timer timer{};
+        bool isAvailable = true;
+    };
+
+    void readConfiguration();
+    void watchConfiguration();
+    void handleConfigurationItems(const std::vector<StoreItem> &items);
+    void retryConfiguration(Duration wait);
+    void readEndpoints();
+    void finishEndpoints();
+    void failEndpoints();
+    const EndpointRecord *decodeCached(const StoreItem &item);
+    void begin(Duty &duty, const HttpRequestHead &head, Duration timeout,
+        std::function<void(int status, const std::string &body)> done);
+    void noteAvailable(Duty &duty, bool available, const std::string &reason);
+
+    EventLoop &m_loop;
+    const StoreCodec &m_codec;
+    Address m_address;
+    Duration m_listInterval;
+    StoreLinkListener &m_listener;
+    Duty m_configuration{"configuration", nullptr};
+    Duty m_endpoints{"endpoints", nullptr};
+    /** Revision of the store as of the last answer about the configuration. */
+    std::uint64_t m_watchedRevision = 0;
+    /** Revision of the configuration in hand; never goes down. */
+    std::uint64_t m_configurationRevision = 0;
+    /** Pages of the list being read. */
+    std::vector<StoreItem> m_pages;
+    /** Store revision of the first page: the list holds everything up to it. */
+    std::uint64_t m_listRevision = 0;
+    struct Decoded
+    {
+        std::uint64_t revision = 0;
+        std::optional<EndpointRecord> record;
+    };
+    /** Registrations by key, so that unchanged ones aren't parsed again. */
+    std::map<std::string, Decoded> m_decoded;
+    std::uint64_t m_calls = 0;
+};
+
+}
--- /dev/null
+++ b/src/transport/httpparser.cpp
@@ -0,0 +1,253 @@
+/** \file
+ * HTTP parsing over Boost.Beast's incremental parser.
+ */
+#include "httpparser.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace Cyclamenturn
+{
+
+namespace Http = boost::beast::http;
+
+namespace
+{
+
+constexpr int BAD_REQUEST = 400;
+constexpr int BODY_TOO_LARGE = 413;
+constexpr int HEADER_TOO_LARGE = 431;
+constexpr int NOT_IMPLEMENTED = 501;
+
+std::string text(boost::beast::string_view view)
+{
+    return std::string(view.data(), view.size());
+}
+
+int statusFor(const boost::system::error_code &error)
+{
+    if (error == Http::error::header_limit) {
+        return HEADER_TOO_LARGE;
+    }
+    return error == Http::error::body_limit ? BODY_TOO_LARGE : BAD_REQUEST;
+}
+
+}
+
+class HttpParser::Implementation
+{
+public:
+    virtual ~Implementation() = default;
+    virtual void consume(std::string &input) = 0;
+    virtual bool finishAtEnd() = 0;
+    virtual bool isStarted() const = 0;
+    virtual bool isHeadDone() const = 0;
+    virtual bool isDone() const = 0;
+    virtual bool keepsConnection() const = 0;
+    virtual bool isFramed() const = 0;
+
+    HttpRequestHead request;
+    HttpResponseHead response;
+    std::string body;
+    std::size_t bodyBytes = 0;
+};
+
+template<bool isRequest>
+class HttpParser::Typed : public HttpParser::Implementation, private Http::basic_parser<isRequest>
+{
+    using Base = Http::basic_parser<isRequest>;
+    using ErrorCode = boost::beast::error_code;
+    using View = boost::beast::string_view;
+
+public:
+    Typed(const HttpLimits &limits, bool headOnly)
+    {
+        this->eager(true);
+        this->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+        this->body_limit(limits.bodyBytes);
+        this->skip(headOnly);
+    }
+
+    void consume(std::string &input) override
+    {
+        std::size_t used = 0;
+        while (used < input.size() && !this->is_done()) {
+            ErrorCode error;
+            const std::size_t count
+                = this->put(boost::asio::const_buffer(input.data() + used, input.size() - used), error);
+            used += count;
+            if (error == Http::error::need_more) {
+                break;
+            }
+            if (error) {
+                throw HttpSyntaxError(error.message(), statusFor(error));
+            }
+            if (count == 0) {
+                break;
+            }
+        }
+        input.erase(0, used);
+    }
+
+    bool finishAtEnd() override
+    {
+        if (this->is_done()) {
+            return true;
+        }
+        if (!this->is_header_done() || !this->need_eof()) {
+            return false;
+        }
+        ErrorCode error;
+        this->put_eof(error);
+        return !error && this->is_done();
+    }
+
+    bool isStarted() const override
+    {
+        return this->got_some();
+    }
+    bool isHeadDone() const override
+    {
+        return this->is_header_done();
+    }
+    bool isDone() const override
+    {
+        return this->is_done();
+    }
+    bool keepsConnection() const override
+    {
+        return this->is_header_done() && this->keep_alive();
+    }
+    bool isFramed() const override
+    {
+        return !this->need_eof();
+    }
+
+private:
+    void on_request_impl(Http::verb, View method, View target, int version, ErrorCode &) override
+    {
+        if (version != 11 && version != 10) {
+            throw HttpSyntaxError("HTTP version isn't 1.0 or 1.1", BAD_REQUEST);
+        }
+        request.method = text(method);
+        request.target = text(target);
+    }
+    void on_response_impl(int code, View reason, int, ErrorCode &) override
+    {
+        response.status = code;
+        response.reason = text(reason);
+    }
+    void on_field_impl(Http::field, View name, View value, ErrorCode &) override
+    {
+        HttpFields &fields = isRequest ? request.fields : response.fields;
+        fields.add(text(name), text(value));
+    }
+    void on_header_impl(ErrorCode &) override
+    {
+        const HttpFields &fields = isRequest ? request.fields : response.fields;
+        // Two ways to state the length are read differently by different servers, which lets one request hide another.
+        const std::size_t encodings = fields.count("Transfer-Encoding");
+        const std::size_t lengths = fields.count("Content-Length");
+        if (encodings + lengths > 1) {
+            throw HttpSyntaxError("the length of the body is stated twice", BAD_REQUEST);
+        }
+        if (encodings == 1 && !equalsIgnoringCase(*fields.find("Transfer-Encoding"), "chunked")) {
+            throw HttpSyntaxError("a transfer encoding other than chunked", NOT_IMPLEMENTED);
+        }
+        if (isRequest && fields.count("Host") != 1) {
+            throw HttpSyntaxError("not exactly one Host field", BAD_REQUEST);
+        }
+    }
+    void on_body_init_impl(const boost::optional<std::uint64_t> &, ErrorCode &) override
+    {
+    }
+    std::size_t on_body_impl(View piece, ErrorCode &) override
+    {
+        return append(piece);
+    }
+    void on_chunk_header_impl(std::uint64_t, View, ErrorCode &) override
+    {
+    }
+    std::size_t on_chunk_body_impl(std::uint64_t, View piece, ErrorCode &) override
+    {
+        return append(piece);
+    }
+    void on_finish_impl(ErrorCode &) override
+    {
+    }
+
+    std::size_t append(View piece)
+    {
+        body.append(piece.data(), piece.size());
+        bodyBytes += piece.size();
+        return piece.size();
+    }
+};
+
+HttpParser::HttpParser(std::unique_ptr<Implementation> implementation)
+    : m_implementation(std::move(implementation))
+{
+}
+HttpParser::HttpParser(HttpParser &&) noexcept = default;
+HttpParser &HttpParser::operator=(HttpParser &&) noexcept = default;
+HttpParser::~HttpParser() = default;
+
+HttpParser HttpParser::forRequest(const HttpLimits &limits)
+{
+    return HttpParser(std::make_unique<Typed<true>>(limits, false));
+}
+
+HttpParser HttpParser::forResponse(const HttpLimits &limits, bool toHead)
+{
+    return HttpParser(std::make_unique<Typed<false>>(limits, toHead));
+}
+
+void HttpParser::consume(std::string &input)
+{
+    m_implementation->consume(input);
+}
+bool HttpParser::finishAtEnd()
+{
+    return m_implementation->finishAtEnd();
+}
+bool HttpParser::isStarted() const
+{
+    return m_implementation->isStarted();
+}
+bool HttpParser::isHeadDone() const
+{
+    return m_implementation->isHeadDone();
+}
+bool HttpParser::isDone() const
+{
+    return m_implementation->isDone();
+}
+bool HttpParser::keepsConnection() const
+{
+    return m_implementation->keepsConnection();
+}
+bool HttpParser::isFramed() const
+{
+    return m_implementation->isFramed();
+}
+HttpRequestHead &HttpParser::request()
+{
+    return m_implementation->request;
+}
+HttpResponseHead &HttpParser::response()
+{
+    return m_implementation->response;
+}
+std::string HttpParser::takeBody()
+{
+    std::string out;
+    out.swap(m_implementation->body);
+    return out;
+}
+std::size_t HttpParser::bodyBytes() const
+{
+    return m_implementation->bodyBytes;
+}
+
+}
--- /dev/null
+++ b/src/transport/httpserver.cpp
@@ -0,0 +1,63 @@
+/** \file
+ * Accepts connections for an HTTP server.
+ */
+#include "httpserver.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/PollSet.h>
+
+#include <algorithm>
+
+namespace Cyclamenturn
+{
+
+namespace
+{
+
+constexpr int ACCEPT_BACKLOG = 512;
+
+}
+
+HttpServer::HttpServer(EventLoop &loop, const Address &address, RequestHandler handler)
+    : m_loop(loop)
+    , m_handler(std::move(handler))
+{
+    m_socket.bind(Poco::Net::SocketAddress(address.host, static_cast<Poco::UInt16>(address.port)), true);
+    m_socket.listen(ACCEPT_BACKLOG);
+    m_socket.setBlocking(false);
+    m_loop.watch(m_socket, Poco::Net::PollSet::POLL_READ, this);
+}
+
+HttpServer::~HttpServer()
+{
+    m_loop.unwatch(m_socket);
+}
+
+std::size_t HttpServer::busyConnections() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_connections.begin(), m_connections.end(), [](const auto &item) { return item.second->isBusy(); }));
+}
+
+void HttpServer::socketReady(int)
+{
+    try {
+        const Poco::Net::StreamSocket socket = m_socket.acceptConnection();
+        const auto connection = std::make_shared<HttpServerConnection>(*this, m_loop, socket);
+        m_connections.emplace(connection.get(), connection);
+    } catch (const Poco::Exception &) { // the caller left before it was accepted, or descriptors ran out for a moment
+    }
+}
+
+void HttpServer::remove(HttpServerConnection *connection)
+{
+    const auto found = m_connections.find(connection);
+    if (found == m_connections.end()) {
+        return;
+    }
+    // The connection may be on the call stack, so it is destroyed in the next turn of the loop.
+    m_loop.callAt(m_loop.now(), [kept = found->second] {});
+    m_connections.erase(found);
+}
+
+}
--- /dev/null
+++ b/src/transport/httpserver.h
@@ -0,0 +1,76 @@
+/** \file
+ * An HTTP/1.1 server on the event loop.
+ */
+#pragma once
+
+#include "address.h"
+#include "httpserverconnection.h"
+
+#include <Poco/Net/ServerSocket.h>
+
+#include <functional>
+#include <unordered_map>
+
+namespace Cyclamenturn
+{
+
+/** What the server allows its callers. */
+struct HttpServerLimits
+{
+    HttpLimits message;
+    Duration headerTimeout = milliseconds(3000);
+    Duration bodyTimeout = milliseconds(30000);
+    Duration idleTimeout = milliseconds(15000);
+};
+
+class HttpServer : private SocketHandler
+{
+public:
+    using RequestHandler = std::function<void(const HttpServerConnectionPtr &, ReceivedRequest)>;
+
+    HttpServer(EventLoop &loop, const Address &address, RequestHandler handler);
+    ~HttpServer() override;
+
+    /** Holds for requests that begin from now on. */
+    void setLimits(const HttpServerLimits &limits)
+    {
+        m_limits = limits;
+    }
+    const HttpServerLimits &limits() const
+    {
+        return m_limits;
+    }
+    /** From now on each answer is the last on its connection. */
+    void beginDrain()
+    {
+        m_draining = true;
+    }
+    bool isDraining() const
+    {
+        return m_draining;
+    }
+    std::size_t connections() const
+    {
+        return m_connections.size();
+    }
+    std::size_t busyConnections() const;
+
+private:
+    friend class HttpServerConnection;
+
+    void socketReady(int modes) override;
+    void handle(const HttpServerConnectionPtr &connection, ReceivedRequest request)
+    {
+        m_handler(connection, std::move(request));
+    }
+    void remove(HttpServerConnection *connection);
+
+    EventLoop &m_loop;
+    Poco::Net::ServerSocket m_socket;
+    RequestHandler m_handler;
+    HttpServerLimits m_limits;
+    bool m_draining = false;
+    std::unordered_map<HttpServerConnection *, HttpServerConnectionPtr> m_connections;
+};
+
+}
--- /dev/null
+++ b/src/transport/tcpconnection.cpp
@@ -0,0 +1,190 @@
+/** \file
+ * Non-blocking TCP connections over POCO's stream socket.
+ */
+#include "tcpconnection.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/PollSet.h>
+
+#include <cerrno>
+#include <netinet/tcp.h>
+
+namespace Cyclamenturn
+{
+
+namespace
+{
+
+constexpr std::size_t READ_BYTES = 16384;
+/** A far end that acknowledges nothing for this long is unreachable; the platform drops such bytes without a reset. */
+constexpr int USER_TIMEOUT_MS = 6000;
+
+}
+
+TcpConnection::TcpConnection(EventLoop &loop, const Poco::Net::StreamSocket &socket, ConnectionListener *listener)
+    : m_loop(loop)
+    , m_socket(socket)
+    , m_listener(listener)
+    , m_connected(true)
+    , m_modes(Poco::Net::PollSet::POLL_READ)
+{
+    configure();
+    m_loop.watch(m_socket, m_modes, this);
+}
+
+TcpConnection::TcpConnection(EventLoop &loop, const Address &address, ConnectionListener *listener)
+    : m_loop(loop)
+    , m_listener(listener)
+    , m_modes(Poco::Net::PollSet::POLL_WRITE)
+{
+    try {
+        m_socket.connectNB(Poco::Net::SocketAddress(address.host, static_cast<Poco::UInt16>(address.port)));
+        configure();
+        m_loop.watch(m_socket, m_modes, this);
+    } catch (const Poco::Exception &) {
+        m_loop.callAt(m_loop.now(), [this, alive = std::weak_ptr<bool>(m_alive)] {
+            if (!alive.expired()) {
+                end(ConnectionEnd::Broken);
+            }
+        });
+    }
+}
+
+TcpConnection::~TcpConnection()
+{
+    *m_alive = false;
+    m_loop.unwatch(m_socket);
+    try {
+        m_socket.close();
+    } catch (const Poco::Exception &) { // the socket is gone either way
+    }
+}
+
+void TcpConnection::configure()
+{
+    m_socket.setBlocking(false);
+    m_socket.setNoDelay(true);
+    m_socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS);
+}
+
+void TcpConnection::resetOnClose()
+{
+    try {
+        m_socket.setLinger(true, 0);
+    } catch (const Poco::Exception &) { // a socket that has failed closes without a last answer anyway
+    }
+}
+
+void TcpConnection::write(std::string_view bytes)
+{
+    if (m_ended) {
+        return;
+    }
+    const bool idle = m_output.empty() && m_connected;
+    m_output.append(bytes);
+    if (!idle) {
+        return;
+    }
+    try {
+        const int sent = m_socket.sendBytes(m_output.data(), static_cast<int>(m_output.size()));
+        if (sent > 0) {
+            m_output.erase(0, static_cast<std::size_t>(sent));
+        }
+    } catch (const Poco::Exception &) { // reported when the loop next sees the socket
+    }
+    updateModes();
+}
+
+void TcpConnection::updateModes()
+{
+    const int modes = (m_connected ? Poco::Net::PollSet::POLL_READ : 0)
+        | (m_output.empty() && m_connected ? 0 : Poco::Net::PollSet::POLL_WRITE);
+    if (modes != m_modes) {
+        m_modes = modes;
+        m_loop.update(m_socket, modes);
+    }
+}
+
+void TcpConnection::socketReady(int modes)
+{
+    if (!m_connected) {
+        if (!finishConnecting()) {
+            return;
+        }
+    } else if ((modes & Poco::Net::PollSet::POLL_WRITE) != 0 && !sendPending()) {
+        return;
+    }
+    if ((modes & (Poco::Net::PollSet::POLL_READ | Poco::Net::PollSet::POLL_ERROR)) != 0) {
+        receive();
+    }
+}
+
+bool TcpConnection::finishConnecting()
+{
+    int error = 0;
+    m_socket.getOption(SOL_SOCKET, SO_ERROR, error);
+    if (error != 0) {
+        end(ConnectionEnd::Broken);
+        return false;
+    }
+    m_connected = true;
+    updateModes();
+    const auto alive = m_alive;
+    m_listener->connected();
+    return *alive && !m_ended && sendPending();
+}
+
+bool TcpConnection::sendPending()
+{
+    if (m_output.empty()) {
+        return true;
+    }
+    try {
+        const int sent = m_socket.sendBytes(m_output.data(), static_cast<int>(m_output.size()));
+        if (sent > 0) {
+            m_output.erase(0, static_cast<std::size_t>(sent));
+        }
+    } catch (const Poco::Exception &) {
+        // Bytes that came before the reset may hold an answer, so reading reports the end.
+        m_output.clear();
+        updateModes();
+        receive();
+        return false;
+    }
+    updateModes();
+    const auto alive = m_alive;
+    if (m_output.empty()) {
+        m_listener->outputDrained();
+    }
+    return *alive && !m_ended;
+}
+
+void TcpConnection::receive()
+{
+    char bytes[READ_BYTES];
+    int count = 0;
+    try {
+        count = m_socket.receiveBytes(bytes, sizeof(bytes));
+    } catch (const Poco::Exception &) {
+        end(ConnectionEnd::Broken);
+        return;
+    }
+    if (count == 0) {
+        end(ConnectionEnd::Closed);
+        return;
+    }
+    if (count > 0) {
+        m_input.append(bytes, static_cast<std::size_t>(count));
+        m_listener->dataReceived();
+    }
+}
+
+void TcpConnection::end(ConnectionEnd kind)
+{
+    m_ended = true;
+    m_loop.unwatch(m_socket);
+    m_listener->connectionEnded(kind);
+}
+
+}
--- a/standins/standin-engine.cpp
+++ b/standins/standin-engine.cpp
@@ -426,7 +426,7 @@
 int main(int argc, char **argv)
 {
     prepareSignals();
-    startLogging(argv[0]);
+    startLogging();
     const Options options(argc, argv,
         {{"listen", "127.0.0.1:7800"}, {"slots", "8"}, {"token-us", "5000"}, {"prefill-ms", "20"}, {"cache", "64"},
             {"load-lag-ms", "500"}, {"checks-fencing", "1"}});
--- a/standins/standin-service.cpp
+++ b/standins/standin-service.cpp
@@ -136,7 +136,7 @@
 int main(int argc, char **argv)
 {
     prepareSignals();
-    startLogging(argv[0]);
+    startLogging();
     const Options options(argc, argv, {{"listen", "127.0.0.1:7900"}, {"name", "service"}, {"work-ms", "20"}});
     PlainService service(options.text("name"), milliseconds(options.number("work-ms")));
     const auto handler = [&](HttpExchange &exchange) {
--- a/standins/standin-store.cpp
+++ b/standins/standin-store.cpp
@@ -313,7 +313,7 @@
 int main(int argc, char **argv)
 {
     prepareSignals();
-    startLogging(argv[0]);
+    startLogging();
     const Options options(
         argc, argv, {{"listen", "127.0.0.1:7700"}, {"reads-per-second", "2000"}, {"writes-per-second", "400"}});
     Store store(options.number("reads-per-second"), options.number("writes-per-second"));
--- a/standins/standin-vmlist.cpp
+++ b/standins/standin-vmlist.cpp
@@ -79,7 +79,7 @@
 int main(int argc, char **argv)
 {
     prepareSignals();
-    startLogging(argv[0]);
+    startLogging();
     const Options options(argc, argv, {{"listen", "127.0.0.1:7701"}, {"lag-ms", "0"}});
     VmList list(milliseconds(options.number("lag-ms")));
     HttpListener listener(options.address("listen"), THREADS, [&](HttpExchange &exchange) { list.handle(exchange); });
--- /dev/null
+++ b/tools/cyclamenturn-gatewayd.cpp
@@ -0,0 +1,174 @@
+/** \file
+ * The gateway daemon: takes callers' requests on the platform and carries them to endpoints.
+ */
+#include "clock.h"
+#include "errors.h"
+#include "eventlog.h"
+#include "gateway/gateway.h"
+#include "messageheaders.h"
+#include "storedocuments.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <getopt.h>
+#include <iostream>
+#include <optional>
+
+using namespace Cyclamenturn;
+
+namespace
+{
+
+constexpr int EXIT_USAGE = 2;
+constexpr int EXIT_FAILED = 1;
+/** Bounds how late a signal is noticed. */
+constexpr Duration LONGEST_TURN = milliseconds(200);
+/** How often the settings file is looked at for changes that no signal announced. */
+constexpr Duration SETTINGS_INTERVAL = milliseconds(2000);
+constexpr const char *SETTINGS_VARIABLE = "CYCLAMENTURN_CONFIG";
+
+volatile std::sig_atomic_t stopRequested = 0;
+volatile std::sig_atomic_t reloadRequested = 0;
+
+void requestStop(int)
+{
+    stopRequested = 1;
+}
+
+void requestReload(int)
+{
+    reloadRequested = 1;
+}
+
+const char *const HELP = R"(cyclamenturn-gatewayd - gateway for language-model and plain-service traffic
+
+SYNOPSIS
+    cyclamenturn-gatewayd [--config FILE] [--check-config]
+
+DESCRIPTION
+    Takes callers' requests and carries each to an endpoint of its route's service. SIGTERM makes the process leave: it
+    reports not ready, finishes what it has, and exits. SIGHUP makes it read its settings again.
+
+OPTIONS
+    -c, --config FILE   read settings from FILE; without it, from the file that CYCLAMENTURN_CONFIG names
+    -t, --check-config  check the settings and exit
+    -h, --help          show this page
+    -V, --version       show the version
+
+EXIT STATUS
+    0   left after a request to stop, or the settings are valid
+    1   failed while running
+    2   wrong command line or settings
+)";
+
+struct CommandLine
+{
+    std::string settingsFile;
+    bool check = false;
+};
+
+std::optional<CommandLine> parseCommandLine(int argc, char **argv)
+{
+    static const option OPTIONS[]
+        = {{"config", required_argument, nullptr, 'c'}, {"check-config", no_argument, nullptr, 't'},
+            {"help", no_argument, nullptr, 'h'}, {"version", no_argument, nullptr, 'V'}, {nullptr, 0, nullptr, 0}};
+    CommandLine out;
+    if (const char *file = std::getenv(SETTINGS_VARIABLE)) {
+        out.settingsFile = file;
+    }
+    int choice = 0;
+    while ((choice = getopt_long(argc, argv, "c:thV", OPTIONS, nullptr)) != -1) {
+        switch (choice) {
+        case 'c':
+            out.settingsFile = optarg;
+            break;
+        case 't':
+            out.check = true;
+            break;
+        case 'h':
+            std::cout << HELP;
+            return std::nullopt;
+        case 'V':
+            std::cout << "cyclamenturn-gatewayd " << CYCLAMENTURN_VERSION << "\n";
+            return std::nullopt;
+        default:
+            throw UserError("see cyclamenturn-gatewayd --help");
+        }
+    }
+    if (out.settingsFile.empty()) {
+        throw UserError("--config FILE is needed; see cyclamenturn-gatewayd --help");
+    }
+    return out;
+}
+
+void reloadSettings(const std::string &fileName, Gateway &gateway)
+{
+    try {
+        gateway.reload(readGatewaySettings(fileName));
+        LogEvent("settings_reloaded");
+    } catch (const UserError &error) {
+        LogEvent("settings_refused", LogEvent::Level::Error).field("reason", error.what());
+    }
+}
+
+void run(const std::string &settingsFile, const GatewaySettings &settings)
+{
+    const Platform::HeaderCodec messages;
+    const Platform::JsonStoreCodec store;
+    EventLoop loop;
+    Gateway gateway(loop, settings, messages, store);
+    gateway.start();
+    LogEvent("started")
+        .field("role", "gateway")
+        .field("name", settings.name)
+        .field("version", CYCLAMENTURN_VERSION)
+        .field("callers", toString(settings.callers));
+    TimePoint lastReload = loop.now();
+    bool stopping = false;
+    while (!gateway.isStopped()) {
+        loop.runOnce(LONGEST_TURN);
+        if (stopRequested != 0 && !stopping) {
+            stopping = true;
+            gateway.beginStop();
+        }
+        if (reloadRequested != 0 || loop.now() - lastReload >= SETTINGS_INTERVAL) {
+            if (reloadRequested != 0) {
+                LogEvent("reload_requested");
+                reloadSettings(settingsFile, gateway);
+            }
+            reloadRequested = 0;
+            lastReload = loop.now();
+        }
+    }
+    LogEvent("stopped").field("name", settings.name);
+    stopLogging();
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    try {
+        const auto commandLine = parseCommandLine(argc, argv);
+        if (!commandLine) {
+            return 0;
+        }
+        const GatewaySettings settings = readGatewaySettings(commandLine->settingsFile);
+        if (commandLine->check) {
+            return 0;
+        }
+        startLogging();
+        std::signal(SIGTERM, requestStop);
+        std::signal(SIGINT, requestStop);
+        std::signal(SIGHUP, requestReload);
+        std::signal(SIGPIPE, SIG_IGN);
+        run(commandLine->settingsFile, settings);
+        return 0;
+    } catch (const UserError &error) {
+        std::cerr << "cyclamenturn-gatewayd: " << error.what() << "\n";
+        return EXIT_USAGE;
+    } catch (const std::exception &error) {
+        std::cerr << "cyclamenturn-gatewayd: " << error.what() << "\n";
+        return EXIT_FAILED;
+    }
+}
--- a/tools/cyclamenturnd.cpp
+++ b/tools/cyclamenturnd.cpp
@@ -237,7 +237,7 @@
         if (commandLine->check) {
             return 0;
         }
-        startLogging(argv[0]);
+        startLogging();
         std::signal(SIGTERM, requestStop);
         std::signal(SIGINT, requestStop);
         std::signal(SIGPIPE, SIG_IGN);
