--- a/src/gateway/admitrequest.cpp
+++ b/src/gateway/admitrequest.cpp
@@ -29,6 +29,8 @@
         return "overloaded";
     case GatewayRefusal::Quarantined:
         return "quarantined";
+    case GatewayRefusal::Stopping:
+        return "stopping";
     case GatewayRefusal::TimedOutUnsent:
         return "timed_out_unsent";
     case GatewayRefusal::TimedOut:
@@ -65,6 +67,7 @@
     case GatewayRefusal::AllFull:
     case GatewayRefusal::Overloaded:
     case GatewayRefusal::Quarantined:
+    case GatewayRefusal::Stopping:
     case GatewayRefusal::TimedOutUnsent:
     case GatewayRefusal::NotReached:
     case GatewayRefusal::CallerLeft:
--- a/src/gateway/admitrequest.h
+++ b/src/gateway/admitrequest.h
@@ -25,6 +25,8 @@
     AllFull,
     Overloaded,
     Quarantined,
+    /** The process leaves before the request could be finished. */
+    Stopping,
     TimedOutUnsent,
     TimedOut,
     EndpointLost,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -17,10 +17,8 @@
 constexpr int OK = 200;
 constexpr int UNAVAILABLE = 503;
 constexpr Duration HOUSEKEEPING_INTERVAL = milliseconds(1000);
-/** The balancer asks once a second and takes a process out after two misses. */
-constexpr Duration BALANCER_NOTICE = milliseconds(2600);
-/** Left of the grace time for the process to end by itself. */
-constexpr Duration STOP_MARGIN = milliseconds(400);
+/** How often idle connections are closed while the process stops. */
+constexpr Duration STOP_STEP = milliseconds(100);
 /** Connections that callers of one process may hold at an endpoint beyond its even part. */
 constexpr double CONNECTION_SHARE = 0.8;
 constexpr int LEAST_CONNECTIONS = 4;
@@ -66,19 +64,28 @@
 
 void Gateway::beginStop()
 {
-    m_stopping = true;
-    m_stopBegan = m_loop.now();
+    m_stop.emplace(m_loop.now(), m_settings.stopGrace);
     m_callers.beginDrain();
     LogEvent("stopping").field("busy_connections", static_cast<long long>(m_callers.busyConnections()));
+    stepStop();
 }
 
-bool Gateway::isStopped() const
+void Gateway::stepStop()
 {
-    if (!m_stopping) {
-        return false;
+    if (m_stop->closesIdle(m_loop.now())) {
+        m_callers.closeIdle();
     }
-    const Duration since = m_loop.now() - m_stopBegan;
-    return since >= m_settings.stopGrace - STOP_MARGIN || (since >= BALANCER_NOTICE && m_callers.busyConnections() == 0);
+    m_loop.callAfter(STOP_STEP, [this] { stepStop(); });
+}
+
+bool Gateway::accepts(Duration longest) const
+{
+    return !m_stop || m_stop->accepts(longest, m_loop.now());
+}
+
+bool Gateway::isStopped() const
+{
+    return m_stop && m_stop->isOver(m_callers.busyConnections(), m_loop.now());
 }
 
 int Gateway::connectionLimit(const std::string &service) const
@@ -97,7 +104,7 @@
 
 bool Gateway::isReady() const
 {
-    return m_configuration && m_endpoints.readAt() && !m_stopping;
+    return m_configuration && m_endpoints.readAt() && !m_stop;
 }
 
 void Gateway::handleCaller(const HttpServerConnectionPtr &connection, ReceivedRequest request)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -11,12 +11,14 @@
 #include "messagecodec.h"
 #include "placement.h"
 #include "retrywindow.h"
+#include "stopplan.h"
 #include "storelink.h"
 
 #include "metrics.h"
 #include "transport/httpserver.h"
 
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <unordered_map>
@@ -39,6 +41,8 @@
     void beginStop();
     /** Whether everything is done after beginStop(), or the grace time is nearly over. */
     bool isStopped() const;
+    /** Whether a request that may last for `longest` can be taken up. */
+    bool accepts(Duration longest) const;
 
     EventLoop &loop()
     {
@@ -106,6 +110,7 @@
     void handleReadiness(const HttpServerConnectionPtr &connection);
     void handleMetrics(const HttpServerConnectionPtr &connection);
     void housekeep();
+    void stepStop();
     bool isReady() const;
 
     EventLoop &m_loop;
@@ -127,8 +132,8 @@
     HttpServer m_readiness;
     HttpServer m_metricsPage;
     StoreLink m_store;
-    bool m_stopping = false;
-    TimePoint m_stopBegan;
+    /** Set from beginStop() on. */
+    std::optional<StopPlan> m_stop;
 };
 
 }
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -52,8 +52,14 @@
     engine.runningCostMs = table.number("running_cost_ms", 0, MOST_COST_MS, engine.runningCostMs);
     engine.waitingCostMs = table.number("waiting_cost_ms", 0, MOST_COST_MS, engine.waitingCostMs);
     engine.firstEventMs = table.number("first_event_ms", 0, MOST_COST_MS, engine.firstEventMs);
+    engine.tokenMs = table.number("token_ms", 0, MOST_COST_MS, engine.tokenMs);
+    engine.batchedTokenMs = table.number("batched_token_ms", 0, MOST_COST_MS, engine.batchedTokenMs);
+    engine.rereadFactor = table.number("reread_factor", 1, 1000, engine.rereadFactor);
+    policy.otherWorkloadCostMs = table.number("other_workload_cost_ms", 0, MOST_COST_MS, policy.otherWorkloadCostMs);
     policy.plainWorkMs = table.number("plain_work_ms", 0, MOST_COST_MS, policy.plainWorkMs);
     policy.failureCostMs = table.number("failure_cost_ms", 0, MOST_COST_MS, policy.failureCostMs);
+    policy.prefillWeight = table.number("prefill_weight", 0, 1000, policy.prefillWeight);
+    policy.slownessWeight = table.number("slowness_weight", 0, 1, policy.slownessWeight);
     policy.crossDomainCostMs = table.number("cross_domain_cost_ms", 0, MOST_COST_MS, policy.crossDomainCostMs);
     policy.cacheLife = table.span("cache_life_ms", 0, MOST_MS, toMilliseconds(policy.cacheLife));
     table.finish();
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -6,7 +6,9 @@
 
 #include "endpointdirectory.h"
 #include "endpointstanding.h"
+#include "workloadsplit.h"
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,11 +29,17 @@
 {
     double prefillTokensPerMs = 92;
     /** Added to the time of everybody's tokens by one more running request, over the length of a usual answer. */
-    double runningCostMs = 4;
+    double runningCostMs = 1;
     /** Time that one waiting request takes before its successor starts. */
-    double waitingCostMs = 40;
+    double waitingCostMs = 15;
     /** Before a first event even on an idle engine. */
     double firstEventMs = 65;
+    /** Time between two tokens of one request in a usual batch. */
+    double tokenMs = 4;
+    /** Engine time that one token takes when it shares its step with a usual batch. */
+    double batchedTokenMs = 0.2;
+    /** Prefill in all, over that of the requests' own parts: shared parts are read again now and then. */
+    double rereadFactor = 1.5;
 };
 
 struct PlacementPolicy
@@ -42,8 +50,14 @@
     double plainWorkMs = 20;
     /** Time that one certain failure is taken to cost, to weigh failing endpoints against busy ones. */
     double failureCostMs = 600;
+    /** Weight of reading a prompt: it also holds up everybody else at the endpoint. */
+    double prefillWeight = 6;
+    /** Weight of an endpoint's measured slowness, 0 to leave it out. */
+    double slownessWeight = 0;
     /** Price of leaving the own failure domain; its links are slower and dearer. */
     double crossDomainCostMs = 3;
+    /** Cost of a request at an endpoint that serves the other workload; see WorkloadSplit. */
+    double otherWorkloadCostMs = 1500;
     /** How long parts of prompts are believed to stay in an engine's memory. */
     Duration cacheLife = milliseconds(60000);
 };
@@ -77,10 +91,14 @@
         const std::vector<PlacementCandidate> &candidates, const PromptTraits *prompt, double draw, TimePoint now) const;
     double expectedMs(const PlacementCandidate &candidate, const PromptTraits *prompt, std::int64_t prefill,
         TimePoint now) const;
+    /** The ids of the candidates that serve the workload of `prompt`. */
+    std::set<std::string> endpointsForWorkload(
+        const std::vector<PlacementCandidate> &candidates, const PromptTraits &prompt) const;
 
     PlacementPolicy m_policy;
     std::string m_ownFailureDomain;
     std::size_t m_turn = 0;
+    WorkloadSplit m_split;
 };
 
 }
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -31,6 +31,8 @@
 /** A plain repeatable request is tried elsewhere when half of its objective has gone by. */
 constexpr int SILENCE_DIVISOR = 2;
 constexpr int LEAST_ENGINE_PRIORITY = 9;
+/** Few streams last longer, whatever time their route allows. */
+constexpr Duration LONGEST_USUAL_STREAM = milliseconds(5000);
 
 bool isSuccess(int status)
 {
@@ -79,12 +81,21 @@
     m_deadline = m_request.arrivedAt
         + std::min(m_admitted.route->timeout, m_traits.patience.value_or(DEFAULT_PATIENCE));
     m_deadlineTimer = m_gateway.loop().callAt(m_deadline, [this] { deadlineReached(); });
+    if (!m_gateway.accepts(longestDuration())) {
+        refuse(GatewayRefusal::Stopping);
+        return;
+    }
     m_caller->setLeftHandler([this] { callerLeft(); });
     m_gateway.retries().noteRequest(m_service, now);
     m_lastEventId = m_traits.lastEventId;
     sendToEndpoint();
 }
 
+Duration RequestFlow::longestDuration() const
+{
+    return m_admitted.route->kind == RequestKind::Stream ? std::min(timeLeft(), LONGEST_USUAL_STREAM) : timeLeft();
+}
+
 Duration RequestFlow::timeLeft() const
 {
     return m_deadline - m_gateway.loop().now();
--- a/src/gateway/requestflow.h
+++ b/src/gateway/requestflow.h
@@ -60,6 +60,8 @@
     void answer(HttpResponseHead head, const std::string &body, const char *outcome);
     void finish(int status, const char *outcome);
     Duration timeLeft() const;
+    /** How long the request may keep this process busy. */
+    Duration longestDuration() const;
     Duration silenceLimit() const;
 
     Gateway &m_gateway;
--- a/src/transport/httpserver.cpp
+++ b/src/transport/httpserver.cpp
@@ -7,6 +7,7 @@
 #include <Poco/Net/PollSet.h>
 
 #include <algorithm>
+#include <vector>
 
 namespace Cyclamenturn
 {
@@ -39,6 +40,19 @@
         m_connections.begin(), m_connections.end(), [](const auto &item) { return item.second->isBusy(); }));
 }
 
+void HttpServer::closeIdle()
+{
+    std::vector<HttpServerConnectionPtr> idle;
+    for (const auto &[key, connection] : m_connections) {
+        if (connection->isIdle()) {
+            idle.push_back(connection);
+        }
+    }
+    for (const auto &connection : idle) {
+        remove(connection.get());
+    }
+}
+
 void HttpServer::socketReady(int)
 {
     try {
--- a/src/transport/httpserver.h
+++ b/src/transport/httpserver.h
@@ -45,6 +45,8 @@
     {
         m_draining = true;
     }
+    /** Closes the connections on which no request has begun. */
+    void closeIdle();
     bool isDraining() const
     {
         return m_draining;
--- a/src/transport/httpserverconnection.cpp
+++ b/src/transport/httpserverconnection.cpp
@@ -46,6 +46,12 @@
     m_loop.cancel(m_timer);
 }
 
+bool HttpServerConnection::isIdle()
+{
+    return !m_busy && m_connection.pendingOutput() == 0 && m_connection.input().empty()
+        && (!m_parser || !m_parser->isStarted());
+}
+
 void HttpServerConnection::restartTimer(Duration wait)
 {
     m_loop.cancel(m_timer);
--- a/src/transport/httpserverconnection.h
+++ b/src/transport/httpserverconnection.h
@@ -47,6 +47,8 @@
     {
         return m_busy;
     }
+    /** Whether no byte of a request has come since the last answer, which is sent. */
+    bool isIdle();
     std::string peer() const
     {
         return m_peer;
