Planned stops wait for the call that a handshake announced; engine urgency by team, then route

An agent that had drained closed its listener between an entry's handshake and the call behind it, so the entry couldn't tell whether the call ran. Ruled out: load as the cause (the gap between handshake and call is only wider on a busy machine).

Change: urgency is the team's priority, then the route's.

--- a/src/agentdoor.cpp
+++ b/src/agentdoor.cpp
@@ -23,6 +23,7 @@
 constexpr int HTTP_BAD_REQUEST = 400;
 constexpr int HTTP_NOT_FOUND = 404;
 constexpr int HTTP_TOO_LARGE = 413;
+constexpr int HTTP_UNAVAILABLE = 503;
 const std::string CALLS_PATH = "/v1/calls/";
 constexpr Duration BEAT_INTERVAL = milliseconds(500);
 constexpr Duration BODY_TIMEOUT = milliseconds(5000);
@@ -64,6 +65,7 @@
 
 void AgentDoor::waitIdle(Duration timeout)
 {
+    m_leaving = true;
     m_listener->waitIdle(timeout);
 }
 
@@ -99,6 +101,12 @@
             return;
         }
     }
+    if (m_leaving) {
+        // Without this answer an entry sends nothing, and takes the call to another agent.
+        exchange.reply(HTTP_UNAVAILABLE, "{\"error\":\"leaving\"}");
+        return;
+    }
+    exchange.expectFollowUp();
     exchange.reply(HTTP_OK, toJsonText(m_loop->figures().toJson()));
 }
 
--- a/src/agentdoor.h
+++ b/src/agentdoor.h
@@ -30,7 +30,8 @@
     void start() override;
     void stop() override;
 
-    /** Waits until no answer is being sent any more, at most `timeout`. */
+    /** Refuses handshakes from now on, and waits until no answer is being sent and no announced call may come any more,
+     * at most `timeout`. */
     void waitIdle(Duration timeout);
 
 private:
@@ -51,6 +52,7 @@
     std::shared_ptr<ConfigurationService> m_configuration;
     std::shared_ptr<ControlPages> m_pages;
     std::unique_ptr<HttpListener> m_listener;
+    std::atomic<bool> m_leaving{false};
 };
 
 }
--- a/src/gateway/admitrequest.cpp
+++ b/src/gateway/admitrequest.cpp
@@ -5,6 +5,8 @@
 
 #include <Poco/String.h>
 
+#include <algorithm>
+
 namespace Cyclamenturn
 {
 
@@ -76,6 +78,13 @@
     return 503;
 }
 
+int engineUrgency(const AdmittedRequest &request)
+{
+    constexpr int ROUTE_STEPS = 3;
+    const int step = std::clamp(request.route->priority, 0, ROUTE_STEPS - 1);
+    return std::clamp(request.priority * ROUTE_STEPS + step, 0, ENGINE_URGENCIES - 1);
+}
+
 std::string requestedHost(const HttpRequestHead &head)
 {
     const std::string *host = head.fields.find("Host");
--- a/src/gateway/admitrequest.h
+++ b/src/gateway/admitrequest.h
@@ -54,6 +54,13 @@
 AdmissionResult admitRequest(
     const RoutingConfiguration *configuration, const HttpRequestHead &head, const RequestTraits &traits);
 
+/** Urgencies that an engine tells apart, 0 first. */
+constexpr int ENGINE_URGENCIES = 10;
+
+/** The urgency to state to an engine: by priority, and among equals by the route's own, so that an engine that runs out
+ * of memory doesn't preempt the more urgent of two routes of one team. */
+int engineUrgency(const AdmittedRequest &request);
+
 /** The host that a request names, in lower case and without a port. */
 std::string requestedHost(const HttpRequestHead &head);
 /** The target without its query. */
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -68,18 +68,18 @@
     }
     switch (m_policy.rule) {
     case PlacementRule::RoundRobin:
-        return {candidates[m_turn++ % candidates.size()].record, 0, 0};
+        return {candidates[m_turn++ % candidates.size()].record, 0, 0, 0, false};
     case PlacementRule::LeastInFlight: {
         const auto least = std::min_element(candidates.begin(), candidates.end(), [](const auto &a, const auto &b) {
             return a.standing->inFlight() < b.standing->inFlight();
         });
-        return {least->record, 0, 0};
+        return {least->record, 0, 0, 0, false};
     }
     case PlacementRule::PlainHash:
         if (const PromptPart *subject = subjectPart(prompt)) {
-            return {homeOf(candidates, {}, subject->id), 0, 0};
+            return {homeOf(candidates, {}, subject->id), 0, 0, 0, false};
         }
-        return {candidates[m_turn++ % candidates.size()].record, 0, 0};
+        return {candidates[m_turn++ % candidates.size()].record, 0, 0, 0, false};
     case PlacementRule::ExpectedTime:
         break;
     }
@@ -162,7 +162,7 @@
             ms += m_policy.otherWorkloadCostMs;
         }
         if (ms < best.expectedMs) {
-            best = {candidate.record, prefill, ms};
+            best = {candidate.record, prefill, ms, m_split.longAnswerEndpoints(candidates.size()), candidate.record == home};
         }
     }
     return best;
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -75,6 +75,10 @@
     /** Tokens that the engine is expected to read. */
     std::int64_t prefillTokens = 0;
     double expectedMs = 0;
+    /** Endpoints that served long answers when the choice was made. */
+    std::size_t longAnswerEndpoints = 0;
+    /** Whether the endpoint is the one to which the prompt's subject goes first. */
+    bool isHome = false;
 };
 
 class PlacementChooser
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -30,7 +30,6 @@
 constexpr int LOST_AFTER_GAPS = 3;
 /** A plain repeatable request is tried elsewhere when half of its objective has gone by. */
 constexpr int SILENCE_DIVISOR = 2;
-constexpr int LEAST_ENGINE_PRIORITY = 9;
 /** Few streams last longer, whatever time their route allows. */
 constexpr Duration LONGEST_USUAL_STREAM = milliseconds(5000);
 
@@ -148,7 +147,7 @@
     traits.timeLeft = timeLeft();
     traits.team = m_admitted.team;
     if (m_traits.prompt) {
-        traits.enginePriority = std::clamp(m_admitted.priority, 0, LEAST_ENGINE_PRIORITY);
+        traits.enginePriority = engineUrgency(m_admitted);
     }
     traits.lastEventId = m_lastEventId;
     HttpRequestHead head{m_request.head.method, m_request.head.target,
@@ -479,7 +478,9 @@
             .field("sends", m_sends)
             .field("events", m_eventsDelivered)
             .field("expected_ms", static_cast<long long>(m_placement.expectedMs))
-            .field("prefill_tokens", m_placement.prefillTokens);
+            .field("prefill_tokens", m_placement.prefillTokens)
+            .field("home", m_placement.isHome ? 1 : 0)
+            .field("long_answer_endpoints", static_cast<long long>(m_placement.longAnswerEndpoints));
         m_gateway.metrics().observe("cyclamenturn_request_seconds", {{"route", route->name}, {"outcome", outcome}}, took);
     }
     if (m_configuration) {
--- a/src/gateway/workloadsplit.h
+++ b/src/gateway/workloadsplit.h
@@ -33,7 +33,7 @@
 {
 public:
     /** Time constant of the measurement. A burst lasts seconds, and endpoints that change sides lose their cache. */
-    static constexpr Duration MEMORY = milliseconds(6000);
+    static constexpr Duration MEMORY = milliseconds(15000);
 
     void note(const PromptTraits &prompt, const EngineCostModel &engine, TimePoint now);
 
--- a/src/httplistener.cpp
+++ b/src/httplistener.cpp
@@ -15,6 +15,7 @@
 #include <Poco/Net/NetException.h>
 #include <Poco/ThreadPool.h>
 #include <Poco/URI.h>
+#include <algorithm>
 #include <condition_variable>
 #include <mutex>
 #include <thread>
@@ -34,6 +35,9 @@
 constexpr Duration REQUEST_TIMEOUT = milliseconds(10000);
 /** How long a caller may take to accept what is sent. */
 constexpr Duration SEND_TIMEOUT = milliseconds(10000);
+/** How long a stop waits for an announced request. Its sender sends it as soon as it has read the answer before. */
+constexpr Duration FOLLOW_UP_LIMIT = milliseconds(2000);
+constexpr Duration FOLLOW_UP_CHECK = milliseconds(50);
 constexpr Duration SWEEP_INTERVAL = milliseconds(500);
 constexpr std::size_t READ_BLOCK_BYTES = 16 << 10;
 /** A body that is refused for its length is read up to here, so that its sender gets to read the refusal. */
@@ -138,7 +142,15 @@
     bool waitIdle(Duration timeout)
     {
         std::unique_lock<std::mutex> lock(m_mutex);
-        return m_idle.wait_for(lock, timeout, [this] { return m_inProgress == 0; });
+        const TimePoint end = currentTime() + timeout;
+        while (m_inProgress > 0 || hasFollowUps(currentTime())) {
+            const TimePoint now = currentTime();
+            if (now >= end) {
+                return false;
+            }
+            m_idle.wait_for(lock, std::min(end - now, FOLLOW_UP_CHECK));
+        }
+        return true;
     }
     int inProgress() const
     {
@@ -147,6 +159,13 @@
     }
 
 private:
+    /** Whether a request that a far end announced may still come. Call with m_mutex held. */
+    bool hasFollowUps(TimePoint now) const
+    {
+        return std::any_of(
+            m_followUps.begin(), m_followUps.end(), [now](const auto &item) { return now < item.second; });
+    }
+
     class RequestHandler : public Poco::Net::HTTPRequestHandler
     {
     public:
@@ -208,6 +227,8 @@
     mutable std::mutex m_mutex;
     std::condition_variable m_idle;
     int m_inProgress = 0;
+    /** Until when a connection's announced request is waited for. */
+    std::unordered_map<const Poco::Net::SocketImpl *, TimePoint> m_followUps;
     std::atomic<bool> m_stopping{false};
     Poco::Net::HTTPServer m_server;
 };
@@ -254,6 +275,7 @@
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         ++m_inProgress;
+        m_followUps.erase(socket.impl());
     }
     try {
         if (m_stopping) {
@@ -261,6 +283,10 @@
         }
         HttpExchange exchange(request, response);
         m_handler(exchange);
+        if (exchange.expectsFollowUp() && response.getKeepAlive()) {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            m_followUps[socket.impl()] = currentTime() + FOLLOW_UP_LIMIT;
+        }
     } catch (const std::exception &error) {
         response.setKeepAlive(false);
         LogEvent("exchange_failed", LogEvent::Level::Warning).field("error", error.what());
--- a/src/httplistener.h
+++ b/src/httplistener.h
@@ -54,6 +54,15 @@
     void drop();
     /** True once the far end has closed the connection. */
     bool peerClosed();
+    /** The far end sends another request on this connection at once, so a stop waits for it. */
+    void expectFollowUp()
+    {
+        m_expectsFollowUp = true;
+    }
+    bool expectsFollowUp() const
+    {
+        return m_expectsFollowUp;
+    }
 
 private:
     /** Reads to the end of the body; a null `body` discards it. False when it was too long, late or cut. */
@@ -63,6 +72,7 @@
     Poco::Net::HTTPServerResponse &m_response;
     std::string m_path;
     std::string m_query;
+    bool m_expectsFollowUp = false;
 };
 
 /**
@@ -80,7 +90,8 @@
 
     /** Closes the door: no new connection is taken; exchanges in progress go on. */
     void stopAccepting();
-    /** Waits at most `timeout` for the exchanges in progress. Returns true when none is left. */
+    /** Waits at most `timeout` for the exchanges in progress and those announced by expectFollowUp(). Returns true when
+     * none is left. */
     bool waitIdle(Duration timeout);
     int inProgress() const;
 
