Gateways exchange digests; endpoints divided by streams in progress and prefill demand

Change: PeerDigest by datagram among gateways (found through leased registrations in the store): requests and unread prompt tokens at each endpoint, demand by workload, suspected requests. WorkloadSplit gives long answers room by the streams in progress and lets them be dense when prompts need the endpoints. Estimate and cost of a placement are apart.

--- a/src/crashquarantine.cpp
+++ b/src/crashquarantine.cpp
@@ -49,7 +49,7 @@
 bool CrashQuarantine::isQuarantined(std::uint64_t fingerprint, TimePoint now) const
 {
     const auto it = m_suspects.find(fingerprint);
-    return it != m_suspects.end() && it->second.crashes >= CRASH_LIMIT && now < it->second.lastCrash + QUARANTINE_TIME;
+    return it != m_suspects.end() && it->second.crashes >= m_crashLimit && now < it->second.lastCrash + QUARANTINE_TIME;
 }
 
 bool CrashQuarantine::isSuspect(std::uint64_t fingerprint, TimePoint now) const
--- a/src/crashquarantine.h
+++ b/src/crashquarantine.h
@@ -34,7 +34,7 @@
 class CrashQuarantine
 {
 public:
-    /** Crashes after which a fingerprint is quarantined. */
+    /** Crashes after which a fingerprint is quarantined, unless the owner says otherwise. */
     static constexpr int CRASH_LIMIT = 2;
     static constexpr Duration QUARANTINE_TIME = milliseconds(120000);
     static constexpr std::size_t MOST_SUSPECTS = 4096;
@@ -42,6 +42,11 @@
     /** Reports of one endpoint within this time are of one crash, also when several equal requests were in progress. */
     static constexpr Duration ONE_CRASH = milliseconds(1000);
 
+    explicit CrashQuarantine(int crashLimit = CRASH_LIMIT)
+        : m_crashLimit(crashLimit)
+    {
+    }
+
     void noteCrash(std::uint64_t fingerprint, const std::string &endpoint, TimePoint now);
     void noteFinished(std::uint64_t fingerprint);
     /** Takes over what another process knows. */
@@ -57,6 +62,7 @@
     void expire(TimePoint now);
 
 private:
+    int m_crashLimit;
     std::unordered_map<std::uint64_t, Suspicion> m_suspects;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,7 @@
  */
 #include "gateway.h"
 
+#include "clock.h"
 #include "eventlog.h"
 #include "requestflow.h"
 
@@ -20,6 +21,9 @@
 /** How often idle connections are closed while the process stops. */
 constexpr Duration STOP_STEP = milliseconds(100);
 /** Connections that callers of one process may hold at an endpoint beyond its even part. */
+constexpr std::size_t MOST_TOLD_SUSPICIONS = 8;
+/** A connection that is reset is no proof of a crash, so one more than by the agents, which see their engine end. */
+constexpr int CRASHES_TO_QUARANTINE = 3;
 constexpr double CONNECTION_SHARE = 0.8;
 constexpr int LEAST_CONNECTIONS = 4;
 
@@ -33,6 +37,7 @@
     , m_placement(settings.placement, settings.failureDomain)
     , m_pool(loop)
     , m_retries(settings.retries)
+    , m_quarantine(CRASHES_TO_QUARANTINE)
     , m_random(std::random_device{}())
     , m_callers(loop, settings.callers,
           [this](const auto &connection, ReceivedRequest request) { handleCaller(connection, std::move(request)); })
@@ -41,6 +46,13 @@
     , m_metricsPage(
           loop, settings.metrics, [this](const auto &connection, const ReceivedRequest &) { handleMetrics(connection); })
     , m_store(loop, store, settings.store, settings.listInterval, *this)
+    , m_peers(settings.name)
+    , m_peerLink(
+          loop, settings.peers, m_peers, [this] { return makeDigest(); },
+          [this](const PeerDigest &digest) { peerHeard(digest); })
+    , m_registration(loop, store, settings.store, settings.name, settings.peers,
+          [this](const Address &address) { m_peers.addContact(address, m_loop.now()); })
+    , m_incarnation(static_cast<std::uint64_t>(currentTime().time_since_epoch().count()))
 {
 }
 
@@ -49,9 +61,44 @@
 void Gateway::start()
 {
     m_store.start();
+    m_registration.start();
+    m_peerLink.start();
     housekeep();
 }
 
+int Gateway::gateways() const
+{
+    const int known = static_cast<int>(m_peers.livePeers()) + 1;
+    // Peers that can't be heard still use their parts.
+    m_mostGateways = std::max(m_mostGateways, known);
+    return m_peers.livePeers() == 0 ? std::max(m_mostGateways, m_settings.assumedGateways) : m_mostGateways;
+}
+
+PeerDigest Gateway::makeDigest()
+{
+    PeerDigest out;
+    out.name = m_settings.name;
+    out.incarnation = m_incarnation;
+    out.sequence = ++m_digests;
+    out.demand = m_placement.split().own(m_loop.now());
+    for (const auto &[id, standing] : m_standings) {
+        if (standing.inFlight() > 0) {
+            out.shares.push_back({endpointHash(id), static_cast<std::uint16_t>(std::min(standing.inFlight(), 65535)),
+                static_cast<std::uint32_t>(standing.pendingPrefillTokens())});
+        }
+    }
+    out.suspicions = m_quarantine.suspects(m_loop.now(), MOST_TOLD_SUSPICIONS);
+    return out;
+}
+
+void Gateway::peerHeard(const PeerDigest &digest)
+{
+    m_placement.split().setOthers(m_peers.demand());
+    for (const auto &suspicion : digest.suspicions) {
+        m_quarantine.merge(suspicion, m_loop.now());
+    }
+}
+
 void Gateway::reload(const GatewaySettings &settings)
 {
     if (!(settings.store == m_settings.store)) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -9,7 +9,9 @@
 #include "endpointstanding.h"
 #include "gatewaysettings.h"
 #include "messagecodec.h"
+#include "peerlink.h"
 #include "placement.h"
+#include "registration.h"
 #include "retrywindow.h"
 #include "stopplan.h"
 #include "storelink.h"
@@ -88,11 +90,12 @@
     {
         return m_metrics;
     }
-    /** Gateways that share the fleet's limits. */
-    int gateways() const
+    const PeerView &peers() const
     {
-        return m_settings.assumedGateways;
+        return m_peers;
     }
+    /** Gateways that share the fleet's limits; a cautious figure until the others are known. */
+    int gateways() const;
     /** This process's part of the connections that an endpoint accepts. */
     int connectionLimit(const std::string &service) const;
     /** Uniform in [0, 1). */
@@ -109,6 +112,8 @@
     void handleCaller(const HttpServerConnectionPtr &connection, ReceivedRequest request);
     void handleReadiness(const HttpServerConnectionPtr &connection);
     void handleMetrics(const HttpServerConnectionPtr &connection);
+    PeerDigest makeDigest();
+    void peerHeard(const PeerDigest &digest);
     void housekeep();
     void stepStop();
     bool isReady() const;
@@ -132,6 +137,13 @@
     HttpServer m_readiness;
     HttpServer m_metricsPage;
     StoreLink m_store;
+    PeerView m_peers;
+    PeerLink m_peerLink;
+    Registration m_registration;
+    std::uint64_t m_incarnation;
+    std::uint32_t m_digests = 0;
+    /** The most gateways that were alive at once. */
+    mutable int m_mostGateways = 1;
     /** Set from beginStop() on. */
     std::optional<StopPlan> m_stop;
 };
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -50,11 +50,14 @@
     EngineCostModel &engine = policy.engine;
     engine.prefillTokensPerMs = table.number("prefill_tokens_per_ms", 0.001, 1e9, engine.prefillTokensPerMs);
     engine.runningCostMs = table.number("running_cost_ms", 0, MOST_COST_MS, engine.runningCostMs);
-    engine.waitingCostMs = table.number("waiting_cost_ms", 0, MOST_COST_MS, engine.waitingCostMs);
+    engine.prefillDilation = table.number("prefill_dilation", 1, 1000, engine.prefillDilation);
     engine.firstEventMs = table.number("first_event_ms", 0, MOST_COST_MS, engine.firstEventMs);
     engine.tokenMs = table.number("token_ms", 0, MOST_COST_MS, engine.tokenMs);
     engine.batchedTokenMs = table.number("batched_token_ms", 0, MOST_COST_MS, engine.batchedTokenMs);
     engine.rereadFactor = table.number("reread_factor", 1, 1000, engine.rereadFactor);
+    engine.prefillUtilization = table.number("prefill_utilization", 0.01, 1, engine.prefillUtilization);
+    engine.streamsPerEndpoint = table.number("streams_per_endpoint", 1, 1e6, engine.streamsPerEndpoint);
+    engine.mostStreamsPerEndpoint = table.number("most_streams_per_endpoint", 1, 1e6, engine.mostStreamsPerEndpoint);
     policy.otherWorkloadCostMs = table.number("other_workload_cost_ms", 0, MOST_COST_MS, policy.otherWorkloadCostMs);
     policy.plainWorkMs = table.number("plain_work_ms", 0, MOST_COST_MS, policy.plainWorkMs);
     policy.failureCostMs = table.number("failure_cost_ms", 0, MOST_COST_MS, policy.failureCostMs);
@@ -90,6 +93,7 @@
     out.callers = readAddress(root, "callers");
     out.readiness = readAddress(root, "readiness");
     out.metrics = root.has("metrics") ? readAddress(root, "metrics") : Address{out.callers.host, DEFAULT_METRICS_PORT};
+    out.peers = readAddress(root, "peers");
     out.store = readAddress(root, "store");
     out.stopGrace = Duration(static_cast<std::int64_t>(
         root.number("stop_grace_s", 0.1, 3600, DEFAULT_GRACE_MS / 1000.0) * MICROSECONDS_PER_SECOND));
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -22,6 +22,8 @@
     /** Where the balancer asks whether this process takes callers. */
     Address readiness;
     Address metrics;
+    /** Where the other gateways send their digests. */
+    Address peers;
     Address store;
     /** How long the platform waits after SIGTERM before it kills the process. */
     Duration stopGrace{};
--- a/src/gateway/messagecodec.h
+++ b/src/gateway/messagecodec.h
@@ -37,6 +37,13 @@
     virtual std::string eventId(const std::string &event) const = 0;
 };
 
+/** A call to the platform's store. */
+struct StoreRequest
+{
+    HttpRequestHead head;
+    std::string body;
+};
+
 /** One item of the platform's store. */
 struct StoreItem
 {
@@ -59,11 +66,19 @@
 public:
     virtual ~StoreCodec() = default;
 
-    virtual HttpRequestHead readConfigurationCall() const = 0;
+    virtual StoreRequest readConfigurationCall() const = 0;
     /** Waits until the configuration changes after `revision`. */
-    virtual HttpRequestHead watchConfigurationCall(std::uint64_t revision, Duration wait) const = 0;
+    virtual StoreRequest watchConfigurationCall(std::uint64_t revision, Duration wait) const = 0;
     /** Reads registrations after the key `after`; empty for the first page. */
-    virtual HttpRequestHead listEndpointsCall(const std::string &after) const = 0;
+    virtual StoreRequest listEndpointsCall(const std::string &after) const = 0;
+
+    /** Gateways keep their addresses in the store under leases. */
+    virtual StoreRequest createLeaseCall(Duration lifetime) const = 0;
+    virtual StoreRequest renewLeaseCall(std::uint64_t lease) const = 0;
+    virtual StoreRequest writeGatewayCall(
+        const std::string &name, const std::string &address, std::uint64_t lease) const = 0;
+    virtual StoreRequest listGatewaysCall() const = 0;
+    virtual std::uint64_t decodeLease(const std::string &body) const = 0;
 
     /** Each throws MessageFormatError. */
     virtual StoreItem decodeItem(const std::string &body, std::uint64_t &storeRevision) const = 0;
--- /dev/null
+++ b/src/gateway/peerdigest.cpp
@@ -0,0 +1,101 @@
+/** \file
+ * Digests as datagrams, by POCO's binary streams in network byte order.
+ */
+#include "peerdigest.h"
+
+#include "rendezvoushash.h"
+
+#include <Poco/BinaryReader.h>
+#include <Poco/BinaryWriter.h>
+
+#include <algorithm>
+#include <sstream>
+
+namespace Cyclamenturn
+{
+
+namespace
+{
+
+constexpr std::uint8_t FORMAT_VERSION = 1;
+/** Keeps a digest well within one packet. */
+constexpr std::size_t MOST_SHARES = 96;
+constexpr std::size_t MOST_SUSPICIONS = 8;
+constexpr std::size_t MOST_NAME_BYTES = 128;
+
+}
+
+std::uint32_t endpointHash(const std::string &endpointId)
+{
+    return static_cast<std::uint32_t>(contentHash(endpointId));
+}
+
+std::string encodeDigest(const PeerDigest &digest, TimePoint now)
+{
+    std::ostringstream stream;
+    Poco::BinaryWriter out(stream, Poco::BinaryWriter::NETWORK_BYTE_ORDER);
+    out << FORMAT_VERSION << digest.name << Poco::UInt64(digest.incarnation) << Poco::UInt32(digest.sequence)
+        << static_cast<float>(digest.demand.prefillMsPerSecond) << static_cast<float>(digest.demand.longAnswers);
+    const std::size_t shares = std::min(digest.shares.size(), MOST_SHARES);
+    out << static_cast<Poco::UInt8>(shares);
+    for (std::size_t i = 0; i < shares; ++i) {
+        const EndpointShare &share = digest.shares[i];
+        out << Poco::UInt32(share.endpoint) << Poco::UInt16(share.inFlight)
+            << Poco::UInt32(share.pendingPrefillTokens);
+    }
+    const std::size_t suspicions = std::min(digest.suspicions.size(), MOST_SUSPICIONS);
+    out << static_cast<Poco::UInt8>(suspicions);
+    for (std::size_t i = 0; i < suspicions; ++i) {
+        const Suspicion &suspicion = digest.suspicions[i];
+        const auto ageMs = static_cast<Poco::UInt32>(std::max<std::int64_t>(0, toMilliseconds(now - suspicion.lastCrash)));
+        out << Poco::UInt64(suspicion.fingerprint) << static_cast<Poco::UInt8>(std::min(suspicion.crashes, 255)) << ageMs
+            << suspicion.endpoint;
+    }
+    out.flush();
+    return stream.str();
+}
+
+std::optional<PeerDigest> decodeDigest(const std::string &bytes, TimePoint now)
+{
+    std::istringstream stream(bytes);
+    Poco::BinaryReader in(stream, Poco::BinaryReader::NETWORK_BYTE_ORDER);
+    PeerDigest out;
+    Poco::UInt8 version = 0;
+    in >> version;
+    if (version != FORMAT_VERSION) {
+        return std::nullopt;
+    }
+    Poco::UInt64 incarnation = 0;
+    Poco::UInt32 sequence = 0;
+    float prefillMsPerSecond = 0;
+    float longAnswers = 0;
+    in >> out.name >> incarnation >> sequence >> prefillMsPerSecond >> longAnswers;
+    out.demand = {prefillMsPerSecond, longAnswers};
+    out.incarnation = incarnation;
+    out.sequence = sequence;
+    Poco::UInt8 count = 0;
+    in >> count;
+    for (int i = 0; i < count && in.good(); ++i) {
+        Poco::UInt32 endpoint = 0;
+        Poco::UInt16 inFlight = 0;
+        Poco::UInt32 pending = 0;
+        in >> endpoint >> inFlight >> pending;
+        out.shares.push_back({endpoint, inFlight, pending});
+    }
+    count = 0;
+    in >> count;
+    for (int i = 0; i < count && in.good(); ++i) {
+        Poco::UInt64 fingerprint = 0;
+        Poco::UInt8 crashes = 0;
+        Poco::UInt32 ageMs = 0;
+        std::string endpoint;
+        in >> fingerprint >> crashes >> ageMs >> endpoint;
+        out.suspicions.push_back({fingerprint, crashes, now - milliseconds(ageMs), endpoint});
+    }
+    if (!in.good() || out.name.empty() || out.name.size() > MOST_NAME_BYTES) {
+        return std::nullopt;
+    }
+    return out;
+}
+
+}
--- /dev/null
+++ b/src/gateway/peerlink.cpp
@@ -0,0 +1,96 @@
+/** \file
+ * Datagrams between gateways.
+ */
+#include "peerlink.h"
+
+#include "eventlog.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/PollSet.h>
+
+#include <algorithm>
+
+namespace Cyclamenturn
+{
+
+namespace
+{
+
+constexpr int LARGEST_DATAGRAM = 2048;
+/** Datagrams read in one turn, so that a flood doesn't starve callers. */
+constexpr int MOST_READS = 32;
+
+}
+
+PeerLink::PeerLink(EventLoop &loop, const Address &own, PeerView &view, std::function<PeerDigest()> makeDigest,
+    std::function<void(const PeerDigest &)> heard)
+    : m_loop(loop)
+    , m_socket(Poco::Net::SocketAddress(own.host, static_cast<Poco::UInt16>(own.port)), true)
+    , m_own(own)
+    , m_view(view)
+    , m_makeDigest(std::move(makeDigest))
+    , m_heard(std::move(heard))
+{
+    m_socket.setBlocking(false);
+    m_loop.watch(m_socket, Poco::Net::PollSet::POLL_READ, this);
+}
+
+PeerLink::~PeerLink()
+{
+    m_loop.cancel(m_timer);
+    m_loop.unwatch(m_socket);
+}
+
+void PeerLink::start()
+{
+    sendRound();
+}
+
+void PeerLink::socketReady(int)
+{
+    char bytes[LARGEST_DATAGRAM];
+    for (int i = 0; i < MOST_READS; ++i) {
+        try {
+            Poco::Net::SocketAddress sender;
+            const int count = m_socket.receiveFrom(bytes, sizeof(bytes), sender);
+            if (count <= 0) {
+                return;
+            }
+            const auto digest = decodeDigest(std::string(bytes, static_cast<std::size_t>(count)), m_loop.now());
+            if (!digest) {
+                continue;
+            }
+            if (m_view.apply(*digest, {sender.host().toString(), sender.port()}, m_loop.now())) {
+                LogEvent("peer_found").field("peer", digest->name).field("address", sender.toString());
+            }
+            m_heard(*digest);
+        } catch (const Poco::Exception &) { // an earlier datagram was refused; the peer's silence tells the rest
+            return;
+        }
+    }
+}
+
+void PeerLink::sendRound()
+{
+    for (const auto &name : m_view.expire(m_loop.now())) {
+        LogEvent("peer_silent").field("peer", name);
+    }
+    const auto addresses = m_view.addresses();
+    const std::size_t count = std::min(addresses.size(), DIGESTS_PER_ROUND);
+    if (count > 0) {
+        const std::string bytes = encodeDigest(m_makeDigest(), m_loop.now());
+        for (std::size_t i = 0; i < count; ++i) {
+            const Address &to = addresses[(m_cursor + i) % addresses.size()];
+            try {
+                m_socket.sendTo(bytes.data(), static_cast<int>(bytes.size()),
+                    Poco::Net::SocketAddress(to.host, static_cast<Poco::UInt16>(to.port)));
+            } catch (const Poco::Exception &) { // datagrams may be lost anyway; the next round sends newer figures
+                continue;
+            }
+        }
+        m_cursor = (m_cursor + count) % addresses.size();
+    }
+    m_timer = m_loop.callAfter(ROUND_INTERVAL, [this] { sendRound(); });
+}
+
+}
--- /dev/null
+++ b/src/gateway/peerview.cpp
@@ -0,0 +1,107 @@
+/** \file
+ * Knowledge of the other gateways.
+ */
+#include "peerview.h"
+
+#include <set>
+
+namespace Cyclamenturn
+{
+
+PeerView::PeerView(std::string ownName)
+    : m_ownName(std::move(ownName))
+{
+}
+
+bool PeerView::apply(const PeerDigest &digest, const Address &from, TimePoint now)
+{
+    if (digest.name == m_ownName) {
+        return false;
+    }
+    const auto known = m_peers.find(digest.name);
+    if (known != m_peers.end()) {
+        const PeerDigest &last = known->second.digest;
+        const bool isOlder = digest.incarnation < last.incarnation
+            || (digest.incarnation == last.incarnation && digest.sequence <= last.sequence);
+        // After a step of its VM's clock a restarted peer may carry a lower incarnation; silence ends the old one.
+        if (isOlder) {
+            return false;
+        }
+        addShares(last, -1);
+    }
+    m_peers[digest.name] = {digest, from, now};
+    addShares(digest, 1);
+    m_contacts.erase(from);
+    return known == m_peers.end();
+}
+
+void PeerView::addShares(const PeerDigest &digest, int sign)
+{
+    for (const auto &share : digest.shares) {
+        PeerLoad &load = m_loads[share.endpoint];
+        load.inFlight += sign * share.inFlight;
+        load.pendingPrefillTokens += sign * static_cast<std::int64_t>(share.pendingPrefillTokens);
+        if (load.inFlight == 0 && load.pendingPrefillTokens == 0) {
+            m_loads.erase(share.endpoint);
+        }
+    }
+}
+
+void PeerView::addContact(const Address &address, TimePoint now)
+{
+    for (const auto &[name, peer] : m_peers) {
+        if (peer.address == address) {
+            return;
+        }
+    }
+    m_contacts.emplace(address, now);
+}
+
+std::vector<std::string> PeerView::expire(TimePoint now)
+{
+    std::vector<std::string> gone;
+    for (auto it = m_peers.begin(); it != m_peers.end();) {
+        if (now - it->second.heardAt < SILENCE_LIMIT) {
+            ++it;
+            continue;
+        }
+        gone.push_back(it->first);
+        addShares(it->second.digest, -1);
+        m_contacts.emplace(it->second.address, now);
+        it = m_peers.erase(it);
+    }
+    for (auto it = m_contacts.begin(); it != m_contacts.end();) {
+        it = now - it->second >= CONTACT_LIMIT ? m_contacts.erase(it) : std::next(it);
+    }
+    return gone;
+}
+
+std::vector<Address> PeerView::addresses() const
+{
+    std::set<Address> out;
+    for (const auto &[name, peer] : m_peers) {
+        out.insert(peer.address);
+    }
+    for (const auto &[address, since] : m_contacts) {
+        out.insert(address);
+    }
+    return std::vector<Address>(out.begin(), out.end());
+}
+
+PeerLoad PeerView::loadAt(std::uint32_t endpoint) const
+{
+    const auto found = m_loads.find(endpoint);
+    return found == m_loads.end() ? PeerLoad() : found->second;
+}
+
+WorkloadDemand PeerView::demand() const
+{
+    WorkloadDemand out;
+    for (const auto &[name, peer] : m_peers) {
+        out.prefillMsPerSecond += peer.digest.demand.prefillMsPerSecond;
+        out.longAnswers += peer.digest.demand.longAnswers;
+    }
+    return out;
+}
+
+}
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -43,6 +43,13 @@
     return home;
 }
 
+/** Requests of all callers there: what the endpoint reported, or what the processes know, whichever is more. */
+double loadOf(const PlacementCandidate &candidate, TimePoint now)
+{
+    return std::max(candidate.standing->load(now),
+        static_cast<double>(candidate.standing->inFlight() + candidate.peers.inFlight));
+}
+
 std::int64_t sharedTokens(const PromptTraits &prompt)
 {
     std::int64_t tokens = 0;
@@ -68,52 +75,55 @@
     }
     switch (m_policy.rule) {
     case PlacementRule::RoundRobin:
-        return {candidates[m_turn++ % candidates.size()].record, 0, 0, 0, false};
+        return {candidates[m_turn++ % candidates.size()].record, 0, 0, 0, 0, false};
     case PlacementRule::LeastInFlight: {
         const auto least = std::min_element(candidates.begin(), candidates.end(), [](const auto &a, const auto &b) {
             return a.standing->inFlight() < b.standing->inFlight();
         });
-        return {least->record, 0, 0, 0, false};
+        return {least->record, 0, 0, 0, 0, false};
     }
     case PlacementRule::PlainHash:
         if (const PromptPart *subject = subjectPart(prompt)) {
-            return {homeOf(candidates, {}, subject->id), 0, 0, 0, false};
+            return {homeOf(candidates, {}, subject->id), 0, 0, 0, 0, false};
         }
-        return {candidates[m_turn++ % candidates.size()].record, 0, 0, 0, false};
+        return {candidates[m_turn++ % candidates.size()].record, 0, 0, 0, 0, false};
     case PlacementRule::ExpectedTime:
         break;
     }
-    if (prompt != nullptr) {
-        m_split.note(*prompt, m_policy.engine, now);
-    }
     return chooseByTime(candidates, prompt, draw, now);
 }
 
 double PlacementChooser::expectedMs(
-    const PlacementCandidate &candidate, const PromptTraits *prompt, std::int64_t prefill, TimePoint now) const
+    const PlacementCandidate &candidate, bool hasPrompt, std::int64_t prefill, TimePoint now) const
 {
     const EndpointStanding &standing = *candidate.standing;
-    double ms = 0;
-    if (prompt != nullptr) {
-        const EngineCostModel &engine = m_policy.engine;
-        const double ownQueue = static_cast<double>(standing.pendingPrefillTokens()) / engine.prefillTokensPerMs;
-        const double reportedQueue = standing.waiting(now) * engine.waitingCostMs;
-        ms = engine.firstEventMs + m_policy.prefillWeight * static_cast<double>(prefill) / engine.prefillTokensPerMs
-            + std::max(ownQueue, reportedQueue) + standing.load(now) * engine.runningCostMs;
-    } else {
+    if (!hasPrompt) {
         const double slots = std::max(1, candidate.record->slots);
-        ms = m_policy.plainWorkMs * (1 + standing.load(now) / slots);
+        return m_policy.plainWorkMs * (1 + loadOf(candidate, now) / slots);
     }
-    ms *= 1 + m_policy.slownessWeight * (standing.slowness() - 1);
-    ms += standing.failureShare(now) * m_policy.failureCostMs;
-    if (candidate.record->failureDomain != m_ownFailureDomain) {
-        ms += m_policy.crossDomainCostMs;
+    const EngineCostModel &engine = m_policy.engine;
+    const auto ahead
+        = static_cast<double>(standing.pendingPrefillTokens() + candidate.peers.pendingPrefillTokens + prefill);
+    return engine.firstEventMs + ahead / engine.prefillTokensPerMs * engine.prefillDilation;
+}
+
+double PlacementChooser::costOf(
+    const PlacementCandidate &candidate, bool hasPrompt, std::int64_t prefill, TimePoint now) const
+{
+    const EngineCostModel &engine = m_policy.engine;
+    const EndpointStanding &standing = *candidate.standing;
+    double cost = expectedMs(candidate, hasPrompt, prefill, now);
+    if (hasPrompt) {
+        cost += (m_policy.prefillWeight - 1) * static_cast<double>(prefill) / engine.prefillTokensPerMs;
+        cost += loadOf(candidate, now) * engine.runningCostMs;
     }
-    return ms;
+    cost *= 1 + m_policy.slownessWeight * (standing.slowness() - 1);
+    cost += standing.failureShare(now) * m_policy.failureCostMs;
+    return candidate.record->failureDomain == m_ownFailureDomain ? cost : cost + m_policy.crossDomainCostMs;
 }
 
 std::set<std::string> PlacementChooser::endpointsForWorkload(
-    const std::vector<PlacementCandidate> &candidates, const PromptTraits &prompt) const
+    const std::vector<PlacementCandidate> &candidates, const PromptTraits &prompt, TimePoint now) const
 {
     // Every process ranks the endpoints alike, so that all agree on who serves what.
     std::vector<std::pair<std::uint64_t, std::string>> ranked;
@@ -121,7 +131,7 @@
         ranked.emplace_back(contentHash(candidate.record->id), candidate.record->id);
     }
     std::sort(ranked.begin(), ranked.end());
-    const auto border = ranked.begin() + static_cast<std::ptrdiff_t>(m_split.longAnswerEndpoints(ranked.size()));
+    const auto border = ranked.begin() + static_cast<std::ptrdiff_t>(m_split.longAnswerEndpoints(ranked.size(), m_policy.engine, now));
     const bool isLongAnswer = workloadOf(prompt, m_policy.engine) == WorkloadKind::LongAnswer;
     std::set<std::string> out;
     for (auto it = isLongAnswer ? ranked.begin() : border; it != (isLongAnswer ? border : ranked.end()); ++it) {
@@ -138,11 +148,11 @@
     const PromptPart *subject = subjectPart(prompt);
     std::set<std::string> fitting;
     if (prompt != nullptr) {
-        fitting = endpointsForWorkload(candidates, *prompt);
+        fitting = endpointsForWorkload(candidates, *prompt, now);
     }
     const EndpointRecord *home = subject == nullptr ? nullptr : homeOf(candidates, fitting, subject->id);
     Placement best;
-    best.expectedMs = std::numeric_limits<double>::max();
+    best.cost = std::numeric_limits<double>::max();
     const std::size_t first = static_cast<std::size_t>(draw * static_cast<double>(candidates.size()));
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const PlacementCandidate &candidate = candidates[(first + i) % candidates.size()];
@@ -157,12 +167,13 @@
             }
             prefill = std::max<std::int64_t>(0, prompt->promptTokens - cached);
         }
-        double ms = expectedMs(candidate, prompt, prefill, now);
+        double cost = costOf(candidate, prompt != nullptr, prefill, now);
         if (!fitting.empty() && fitting.count(candidate.record->id) == 0) {
-            ms += m_policy.otherWorkloadCostMs;
+            cost += m_policy.otherWorkloadCostMs;
         }
-        if (ms < best.expectedMs) {
-            best = {candidate.record, prefill, ms, m_split.longAnswerEndpoints(candidates.size()), candidate.record == home};
+        if (cost < best.cost) {
+            best = {candidate.record, prefill, expectedMs(candidate, prompt != nullptr, prefill, now), cost,
+                m_split.longAnswerEndpoints(candidates.size(), m_policy.engine, now), candidate.record == home};
         }
     }
     return best;
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -6,6 +6,7 @@
 
 #include "endpointdirectory.h"
 #include "endpointstanding.h"
+#include "peerview.h"
 #include "workloadsplit.h"
 
 #include <set>
@@ -30,8 +31,8 @@
     double prefillTokensPerMs = 92;
     /** Added to the time of everybody's tokens by one more running request, over the length of a usual answer. */
     double runningCostMs = 1;
-    /** Time that one waiting request takes before its successor starts. */
-    double waitingCostMs = 15;
+    /** Time until a prompt is read over the time of reading alone: engines make tokens for others in between. */
+    double prefillDilation = 1.5;
     /** Before a first event even on an idle engine. */
     double firstEventMs = 65;
     /** Time between two tokens of one request in a usual batch. */
@@ -40,6 +41,12 @@
     double batchedTokenMs = 0.2;
     /** Prefill in all, over that of the requests' own parts: shared parts are read again now and then. */
     double rereadFactor = 1.5;
+    /** Share of its time that an engine may spend on reading before prompts wait too long. */
+    double prefillUtilization = 0.7;
+    /** Streams that share an engine with short pauses. */
+    double streamsPerEndpoint = 20;
+    /** Streams that an engine bears when prompts need the room. */
+    double mostStreamsPerEndpoint = 40;
 };
 
 struct PlacementPolicy
@@ -51,13 +58,13 @@
     /** Time that one certain failure is taken to cost, to weigh failing endpoints against busy ones. */
     double failureCostMs = 600;
     /** Weight of reading a prompt: it also holds up everybody else at the endpoint. */
-    double prefillWeight = 6;
+    double prefillWeight = 12;
     /** Weight of an endpoint's measured slowness, 0 to leave it out. */
     double slownessWeight = 0;
     /** Price of leaving the own failure domain; its links are slower and dearer. */
     double crossDomainCostMs = 3;
     /** Cost of a request at an endpoint that serves the other workload; see WorkloadSplit. */
-    double otherWorkloadCostMs = 1500;
+    double otherWorkloadCostMs = 3000;
     /** How long parts of prompts are believed to stay in an engine's memory. */
     Duration cacheLife = milliseconds(60000);
 };
@@ -66,6 +73,8 @@
 {
     const EndpointRecord *record;
     const EndpointStanding *standing;
+    /** Requests of the other processes there. */
+    PeerLoad peers;
 };
 
 struct Placement
@@ -74,7 +83,10 @@
     const EndpointRecord *endpoint = nullptr;
     /** Tokens that the engine is expected to read. */
     std::int64_t prefillTokens = 0;
+    /** Estimate of the time to the first event, or to the answer of a plain endpoint. */
     double expectedMs = 0;
+    /** The figure by which endpoints were compared. */
+    double cost = 0;
     /** Endpoints that served long answers when the choice was made. */
     std::size_t longAnswerEndpoints = 0;
     /** Whether the endpoint is the one to which the prompt's subject goes first. */
@@ -90,14 +102,27 @@
     Placement choose(const std::vector<PlacementCandidate> &candidates, const PromptTraits *prompt, double draw,
         TimePoint now);
 
+    void noteStarted(const PromptTraits &prompt, TimePoint now)
+    {
+        m_split.noteStarted(prompt, m_policy.engine, now);
+    }
+    void noteEnded(const PromptTraits &prompt)
+    {
+        m_split.noteEnded(prompt, m_policy.engine);
+    }
+    WorkloadSplit &split()
+    {
+        return m_split;
+    }
+
 private:
     Placement chooseByTime(
         const std::vector<PlacementCandidate> &candidates, const PromptTraits *prompt, double draw, TimePoint now) const;
-    double expectedMs(const PlacementCandidate &candidate, const PromptTraits *prompt, std::int64_t prefill,
-        TimePoint now) const;
+    double expectedMs(const PlacementCandidate &candidate, bool hasPrompt, std::int64_t prefill, TimePoint now) const;
+    double costOf(const PlacementCandidate &candidate, bool hasPrompt, std::int64_t prefill, TimePoint now) const;
     /** The ids of the candidates that serve the workload of `prompt`. */
     std::set<std::string> endpointsForWorkload(
-        const std::vector<PlacementCandidate> &candidates, const PromptTraits &prompt) const;
+        const std::vector<PlacementCandidate> &candidates, const PromptTraits &prompt, TimePoint now) const;
 
     PlacementPolicy m_policy;
     std::string m_ownFailureDomain;
--- /dev/null
+++ b/src/gateway/registration.cpp
@@ -0,0 +1,125 @@
+/** \file
+ * Registration of this gateway in the store.
+ */
+#include "registration.h"
+
+#include "errors.h"
+#include "eventlog.h"
+
+namespace Cyclamenturn
+{
+
+namespace
+{
+
+constexpr int OK = 200;
+constexpr int NOT_FOUND = 404;
+constexpr Duration CALL_TIMEOUT = milliseconds(1500);
+constexpr Duration RETRY_WAIT = milliseconds(1000);
+
+}
+
+Registration::Registration(EventLoop &loop, const StoreCodec &codec, const Address &store, std::string name,
+    Address own, std::function<void(const Address &)> found)
+    : m_loop(loop)
+    , m_codec(codec)
+    , m_call(loop, store)
+    , m_name(std::move(name))
+    , m_own(std::move(own))
+    , m_found(std::move(found))
+{
+}
+
+Registration::~Registration()
+{
+    m_loop.cancel(m_timer);
+}
+
+void Registration::start()
+{
+    createLease();
+}
+
+void Registration::schedule(Duration wait, void (Registration::*step)())
+{
+    m_loop.cancel(m_timer);
+    m_timer = m_loop.callAfter(wait, [this, step] { (this->*step)(); });
+}
+
+void Registration::begin(const StoreRequest &request, std::function<void(int status, const std::string &body)> done)
+{
+    ++m_calls;
+    m_call.begin(request, CALL_TIMEOUT, std::move(done));
+}
+
+void Registration::retry()
+{
+    schedule(RETRY_WAIT, &Registration::createLease);
+}
+
+void Registration::createLease()
+{
+    begin(m_codec.createLeaseCall(LEASE), [this](int status, const std::string &body) {
+        if (status != OK) {
+            retry();
+            return;
+        }
+        try {
+            m_lease = m_codec.decodeLease(body);
+            writeEntry();
+        } catch (const MessageFormatError &error) {
+            LogEvent("store_answer_unreadable", LogEvent::Level::Error).field("reason", error.what());
+            retry();
+        }
+    });
+}
+
+void Registration::writeEntry()
+{
+    begin(m_codec.writeGatewayCall(m_name, toString(m_own), m_lease), [this](int status, const std::string &) {
+        if (status != OK) {
+            retry();
+            return;
+        }
+        LogEvent("registered").field("name", m_name).field("lease", static_cast<long long>(m_lease));
+        listPeers();
+    });
+}
+
+void Registration::listPeers()
+{
+    begin(m_codec.listGatewaysCall(), [this](int status, const std::string &body) {
+        try {
+            if (status == OK) {
+                m_listedAt = m_loop.now();
+                for (const auto &item : m_codec.decodePage(body).items) {
+                    const Address address = addressFromString(item.value);
+                    if (!(address == m_own)) {
+                        m_found(address);
+                    }
+                }
+            }
+        } catch (const std::runtime_error &error) {
+            LogEvent("gateway_list_unreadable", LogEvent::Level::Error).field("reason", error.what());
+        }
+        schedule(status == OK ? RENEWAL_INTERVAL : RETRY_WAIT, &Registration::renew);
+    });
+}
+
+void Registration::renew()
+{
+    begin(m_codec.renewLeaseCall(m_lease), [this](int status, const std::string &) {
+        if (status == NOT_FOUND) {
+            LogEvent("registration_lapsed", LogEvent::Level::Warning).field("name", m_name);
+            createLease();
+            return;
+        }
+        if (m_loop.now() - m_listedAt >= LIST_INTERVAL) {
+            listPeers();
+            return;
+        }
+        schedule(status == OK ? RENEWAL_INTERVAL : RETRY_WAIT, &Registration::renew);
+    });
+}
+
+}
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -87,6 +87,10 @@
     m_caller->setLeftHandler([this] { callerLeft(); });
     m_gateway.retries().noteRequest(m_service, now);
     m_lastEventId = m_traits.lastEventId;
+    if (m_traits.prompt) {
+        m_gateway.placement().noteStarted(*m_traits.prompt, now);
+        m_demandNoted = true;
+    }
     sendToEndpoint();
 }
 
@@ -107,7 +111,7 @@
     std::vector<PlacementCandidate> candidates;
     for (const EndpointRecord *record : m_gateway.endpoints().usable(m_service)) {
         if (m_tried.count(record->id) == 0) {
-            candidates.push_back({record, &m_gateway.standing(record->id)});
+            candidates.push_back({record, &m_gateway.standing(record->id), m_gateway.peers().loadAt(endpointHash(record->id))});
         }
     }
     while (!candidates.empty()) {
@@ -259,10 +263,11 @@
     }
     if (!m_headDelivered) {
         m_headDelivered = true;
+        m_firstEventAfter = m_gateway.loop().now() - m_request.arrivedAt;
         HttpResponseHead head{m_answerHead.status, m_answerHead.reason, endToEndFields(m_answerHead.fields)};
         m_caller->beginStream(std::move(head));
         m_gateway.metrics().observe("cyclamenturn_first_event_seconds", {{"route", m_admitted.route->name}},
-            m_gateway.loop().now() - m_request.arrivedAt);
+            m_firstEventAfter);
     }
     ++m_eventsDelivered;
     m_caller->sendPiece(event);
@@ -462,6 +467,9 @@
     }
     m_finished = true;
     m_gateway.loop().cancel(m_deadlineTimer);
+    if (m_demandNoted) {
+        m_gateway.placement().noteEnded(*m_traits.prompt);
+    }
     const TimePoint now = m_gateway.loop().now();
     const Duration took = now - m_request.arrivedAt;
     const Route *route = m_admitted.route;
@@ -477,6 +485,7 @@
             .field("endpoint", m_endpoint.id)
             .field("sends", m_sends)
             .field("events", m_eventsDelivered)
+            .field("first_event_ms", toMilliseconds(m_firstEventAfter))
             .field("expected_ms", static_cast<long long>(m_placement.expectedMs))
             .field("prefill_tokens", m_placement.prefillTokens)
             .field("home", m_placement.isHome ? 1 : 0)
--- a/src/gateway/requestflow.h
+++ b/src/gateway/requestflow.h
@@ -96,7 +96,11 @@
     EventSplitter m_splitter;
     std::string m_lastEventId;
     int m_eventsDelivered = 0;
+    /** Time from the request's arrival to its first event; 0 while there is none. */
+    Duration m_firstEventAfter{};
     bool m_headDelivered = false;
+    /** Whether the request counts in the demand of its workload. */
+    bool m_demandNoted = false;
     bool m_finished = false;
 };
 
--- a/src/gateway/storecall.cpp
+++ b/src/gateway/storecall.cpp
@@ -28,7 +28,7 @@
     m_loop.cancel(m_timeout);
 }
 
-void StoreCall::begin(const HttpRequestHead &head, Duration timeout, Done done)
+void StoreCall::begin(const StoreRequest &request, Duration timeout, Done done)
 {
     cancel();
     m_done = std::move(done);
@@ -38,10 +38,10 @@
         m_connection = std::make_unique<HttpClientConnection>(
             m_loop, m_address, HttpLimits{HEADER_BYTES, ANSWER_BYTES}, CONNECT_TIMEOUT);
     }
-    HttpRequestHead framed = head;
+    HttpRequestHead framed = request.head;
     framed.fields.add("Host", toString(m_address));
     m_timeout = m_loop.callAfter(timeout, [this] { finish(0); });
-    m_connection->send(framed, "", this);
+    m_connection->send(framed, request.body, this);
 }
 
 void StoreCall::cancel()
--- a/src/gateway/storecall.h
+++ b/src/gateway/storecall.h
@@ -3,6 +3,8 @@
  */
 #pragma once
 
+#include "messagecodec.h"
+
 #include "transport/httpclientconnection.h"
 
 #include <functional>
@@ -22,7 +24,7 @@
     ~StoreCall() override;
 
     /** Starts a call; one that still runs is dropped without its answer. */
-    void begin(const HttpRequestHead &head, Duration timeout, Done done);
+    void begin(const StoreRequest &request, Duration timeout, Done done);
     void cancel();
 
 private:
--- a/src/gateway/storelink.cpp
+++ b/src/gateway/storelink.cpp
@@ -65,11 +65,11 @@
     readEndpoints();
 }
 
-void StoreLink::begin(Duty &duty, const HttpRequestHead &head, Duration timeout,
+void StoreLink::begin(Duty &duty, const StoreRequest &request, Duration timeout,
     std::function<void(int status, const std::string &body)> done)
 {
     ++m_calls;
-    duty.call->begin(head, timeout, std::move(done));
+    duty.call->begin(request, timeout, std::move(done));
 }
 
 void StoreLink::noteAvailable(Duty &duty, bool available, const std::string &reason)
@@ -117,8 +117,8 @@
 
 void StoreLink::watchConfiguration()
 {
-    const HttpRequestHead head = m_codec.watchConfigurationCall(m_watchedRevision, WATCH_WAIT);
-    begin(m_configuration, head, WATCH_WAIT + WATCH_SLACK, [this](int status, const std::string &body) {
+    const StoreRequest request = m_codec.watchConfigurationCall(m_watchedRevision, WATCH_WAIT);
+    begin(m_configuration, request, WATCH_WAIT + WATCH_SLACK, [this](int status, const std::string &body) {
         if (status != OK) {
             // A history that is gone is no outage; a fresh read catches up.
             if (status != GONE) {
--- a/src/gateway/storelink.h
+++ b/src/gateway/storelink.h
@@ -60,7 +60,7 @@
     void finishEndpoints();
     void failEndpoints();
     const EndpointRecord *decodeCached(const StoreItem &item);
-    void begin(Duty &duty, const HttpRequestHead &head, Duration timeout,
+    void begin(Duty &duty, const StoreRequest &request, Duration timeout,
         std::function<void(int status, const std::string &body)> done);
     void noteAvailable(Duty &duty, bool available, const std::string &reason);
 
--- a/src/gateway/workloadsplit.cpp
+++ b/src/gateway/workloadsplit.cpp
@@ -16,6 +16,8 @@
 
 /** Share of a request's time spent on reading above which the prompt dominates. */
 constexpr double LONG_PROMPT_SHARE = 0.15;
+/** Part of the endpoints that neither needs which goes to long answers. Long prompts gain more from room. */
+constexpr double SPARE_FOR_ANSWERS = 0.3;
 /** Output tokens expected of a request that states nothing. */
 constexpr double DEFAULT_OUTPUT_TOKENS = 200;
 
@@ -50,29 +52,63 @@
     return reading > LONG_PROMPT_SHARE * (reading + writing) ? WorkloadKind::LongPrompt : WorkloadKind::LongAnswer;
 }
 
-void WorkloadSplit::note(const PromptTraits &prompt, const EngineCostModel &engine, TimePoint now)
+namespace
+{
+
+double fading(Duration age)
+{
+    return std::exp(-static_cast<double>(age.count()) / static_cast<double>(WorkloadSplit::MEMORY.count()));
+}
+
+}
+
+void WorkloadSplit::noteStarted(const PromptTraits &prompt, const EngineCostModel &engine, TimePoint now)
 {
-    const double factor = std::exp(-static_cast<double>((now - m_notedAt).count()) / static_cast<double>(MEMORY.count()));
-    m_longPromptMs *= factor;
-    m_longAnswerMs *= factor;
+    if (workloadOf(prompt, engine) == WorkloadKind::LongAnswer) {
+        ++m_longAnswers;
+        return;
+    }
+    m_prefillMs *= fading(now - m_notedAt);
     m_notedAt = now;
-    const double work
-        = ownPrefillMs(prompt, engine) * engine.rereadFactor + expectedOutputTokens(prompt) * engine.batchedTokenMs;
-    (workloadOf(prompt, engine) == WorkloadKind::LongPrompt ? m_longPromptMs : m_longAnswerMs) += work;
+    m_prefillMs += ownPrefillMs(prompt, engine) * engine.rereadFactor + expectedOutputTokens(prompt) * engine.batchedTokenMs;
+}
+
+void WorkloadSplit::noteEnded(const PromptTraits &prompt, const EngineCostModel &engine)
+{
+    if (workloadOf(prompt, engine) == WorkloadKind::LongAnswer) {
+        m_longAnswers = std::max(0, m_longAnswers - 1);
+    }
+}
+
+WorkloadDemand WorkloadSplit::own(TimePoint now) const
+{
+    constexpr double MICROSECONDS_PER_SECOND = 1e6;
+    const double seconds = static_cast<double>(MEMORY.count()) / MICROSECONDS_PER_SECOND;
+    return {m_prefillMs * fading(now - m_notedAt) / seconds, static_cast<double>(m_longAnswers)};
 }
 
-std::size_t WorkloadSplit::longAnswerEndpoints(std::size_t endpoints) const
+std::size_t WorkloadSplit::longAnswerEndpoints(std::size_t endpoints, const EngineCostModel &engine, TimePoint now) const
 {
-    const double total = m_longPromptMs + m_longAnswerMs;
-    if (total <= 0 || m_longAnswerMs <= 0) {
-        return 0;
+    constexpr double MS_PER_SECOND = 1000;
+    const WorkloadDemand demand = own(now);
+    const double count = static_cast<double>(endpoints);
+    const double forPrompts
+        = (demand.prefillMsPerSecond + m_others.prefillMsPerSecond) / MS_PER_SECOND / engine.prefillUtilization;
+    const double answers = demand.longAnswers + m_others.longAnswers;
+    if (forPrompts <= 0 && answers <= 0) {
+        return endpoints / 2;
     }
-    if (m_longPromptMs <= 0) {
-        return endpoints;
+    // Streams bear a dense engine far better than prompts bear waiting, so they give way first.
+    const double comfortable = answers / engine.streamsPerEndpoint;
+    const double dense = answers / engine.mostStreamsPerEndpoint;
+    double share = std::max(dense, std::min(comfortable, count - forPrompts));
+    if (dense + forPrompts > count) {
+        share = count * dense / (dense + forPrompts);
+    } else if (comfortable + forPrompts < count) {
+        share = comfortable + (count - comfortable - forPrompts) * SPARE_FOR_ANSWERS;
     }
-    const double share = m_longAnswerMs / total;
-    const auto count = static_cast<std::size_t>(std::lround(share * static_cast<double>(endpoints)));
-    return endpoints < 2 ? endpoints : std::clamp<std::size_t>(count, 1, endpoints - 1);
+    const auto rounded = static_cast<std::size_t>(std::lround(share));
+    return endpoints < 2 ? endpoints : std::clamp<std::size_t>(rounded, 1, endpoints - 1);
 }
 
 }
--- a/src/gateway/workloadsplit.h
+++ b/src/gateway/workloadsplit.h
@@ -1,7 +1,7 @@
 /** \file
  * Divides the endpoints of a model service between long prompts and long answers. It answers load that mixes both: an
  * engine reads a long prompt in chunks between the tokens of everybody else, so a few long prompts in a row make the
- * pauses in every stream on that engine too long.
+ * pauses in every stream on that engine too long. Streams alone hardly disturb each other, so many share an endpoint.
  */
 #pragma once
 
@@ -9,6 +9,7 @@
 #include "timepoint.h"
 
 #include <cstddef>
+#include <tuple>
 
 namespace Cyclamenturn
 {
@@ -28,22 +29,44 @@
 /** Which of its two parts dominates a request, by the cost model. */
 WorkloadKind workloadOf(const PromptTraits &prompt, const EngineCostModel &engine);
 
-/** Measures how much of the recent work is of each kind. */
+/** What one process's callers ask of a model service; the sum over all processes is what the division follows. */
+struct WorkloadDemand
+{
+    /** Engine time asked for by long prompts, in milliseconds a second. */
+    double prefillMsPerSecond = 0;
+    /** Long answers in progress. */
+    double longAnswers = 0;
+
+    bool operator==(const WorkloadDemand &other) const
+    {
+        return std::tie(prefillMsPerSecond, longAnswers) == std::tie(other.prefillMsPerSecond, other.longAnswers);
+    }
+};
+
 class WorkloadSplit
 {
 public:
     /** Time constant of the measurement. A burst lasts seconds, and endpoints that change sides lose their cache. */
-    static constexpr Duration MEMORY = milliseconds(15000);
+    static constexpr Duration MEMORY = milliseconds(3000);
 
-    void note(const PromptTraits &prompt, const EngineCostModel &engine, TimePoint now);
+    void noteStarted(const PromptTraits &prompt, const EngineCostModel &engine, TimePoint now);
+    void noteEnded(const PromptTraits &prompt, const EngineCostModel &engine);
+    void setOthers(const WorkloadDemand &demand)
+    {
+        m_others = demand;
+    }
+    /** This process's own demand. */
+    WorkloadDemand own(TimePoint now) const;
 
     /** Of `endpoints`, how many serve long answers; at least one each when both kinds are asked for. */
-    std::size_t longAnswerEndpoints(std::size_t endpoints) const;
+    std::size_t longAnswerEndpoints(std::size_t endpoints, const EngineCostModel &engine, TimePoint now) const;
 
 private:
-    double m_longPromptMs = 0;
-    double m_longAnswerMs = 0;
+    /** Fades with MEMORY; its rate is m_prefillMs / MEMORY. */
+    double m_prefillMs = 0;
     TimePoint m_notedAt;
+    int m_longAnswers = 0;
+    WorkloadDemand m_others;
 };
 
 }
