Turn away prompts whose first event would come too late; fewer calls to the store

Each gateway made 1.8 calls a second to the store.

Change: OverloadPolicy refuses at once when the best endpoint's first event is expected after 2.5 objectives, with Retry-After from when room is expected; callers that come back are taken while half of their time is left. The watch of the configuration waits 6 s, and digests carry the revision, so that a silent watch is noticed through the others. The list of endpoints is read each 1.2 s. Before the first configuration Retry-After is as long as callers honour.

--- a/src/gateway/endpointdirectory.h
+++ b/src/gateway/endpointdirectory.h
@@ -67,8 +67,7 @@
     static constexpr Duration LAPSE_AGE = milliseconds(3000);
 
     /** Takes in a whole list as of `revision`. A list older than the one in hand is ignored. */
-    std::vector<EndpointChange> apply(
-        const std::vector<EndpointRecord> &list, std::uint64_t revision, TimePoint now);
+    std::vector<EndpointChange> apply(const std::vector<EndpointRecord> &list, std::uint64_t revision, TimePoint now);
     /** A read of the list failed: the platform may be away from the endpoints too. */
     void noteReadFailed();
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -40,11 +40,11 @@
     , m_quarantine(CRASHES_TO_QUARANTINE)
     , m_random(std::random_device{}())
     , m_callers(loop, settings.callers,
-          [this](const auto &connection, ReceivedRequest request) { handleCaller(connection, std::move(request)); })
+          [this](const auto &connection, ReceivedRequest &request) { handleCaller(connection, std::move(request)); })
     , m_readiness(
-          loop, settings.readiness, [this](const auto &connection, const ReceivedRequest &) { handleReadiness(connection); })
+          loop, settings.readiness, [this](const auto &connection, ReceivedRequest &) { handleReadiness(connection); })
     , m_metricsPage(
-          loop, settings.metrics, [this](const auto &connection, const ReceivedRequest &) { handleMetrics(connection); })
+          loop, settings.metrics, [this](const auto &connection, ReceivedRequest &) { handleMetrics(connection); })
     , m_store(loop, store, settings.store, settings.listInterval, *this)
     , m_peers(settings.name)
     , m_peerLink(
@@ -80,6 +80,7 @@
     out.name = m_settings.name;
     out.incarnation = m_incarnation;
     out.sequence = ++m_digests;
+    out.configurationRevision = m_store.configurationRevision();
     out.demand = m_placement.split().own(m_loop.now());
     for (const auto &[id, standing] : m_standings) {
         if (standing.inFlight() > 0) {
@@ -94,6 +95,8 @@
 void Gateway::peerHeard(const PeerDigest &digest)
 {
     m_placement.split().setOthers(m_peers.demand());
+    m_store.setHasPeers(true);
+    m_store.noteConfigurationElsewhere(digest.configurationRevision);
     for (const auto &suspicion : digest.suspicions) {
         m_quarantine.merge(suspicion, m_loop.now());
     }
@@ -186,6 +189,7 @@
 {
     const TimePoint now = m_loop.now();
     m_pool.expire(now);
+    m_store.setHasPeers(m_peers.livePeers() > 0);
     m_quarantine.expire(now);
     m_metrics.set("cyclamenturn_store_calls", {}, static_cast<double>(m_store.calls()));
     m_metrics.set("cyclamenturn_endpoint_connections_opened", {}, static_cast<double>(m_pool.opened()));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -90,6 +90,10 @@
     {
         return m_metrics;
     }
+    const OverloadSettings &overload() const
+    {
+        return m_settings.overload;
+    }
     const PeerView &peers() const
     {
         return m_peers;
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -18,8 +18,8 @@
 constexpr int DEFAULT_METRICS_PORT = 9102;
 constexpr std::int64_t MOST_MS = 3600000;
 constexpr std::int64_t DEFAULT_GRACE_MS = 8000;
-/** A third of the two seconds within which a leaving endpoint must get no more work, with time for a slow answer. */
-constexpr std::int64_t DEFAULT_LIST_INTERVAL_MS = 800;
+/** Well below the two seconds after which a leaving endpoint must get no more work, with time for a slow answer. */
+constexpr std::int64_t DEFAULT_LIST_INTERVAL_MS = 1200;
 
 Address readAddress(CheckedTable &table, const std::string &key)
 {
@@ -32,8 +32,8 @@
 
 PlacementRule readRule(CheckedTable &table)
 {
-    const std::string name = table.choice(
-        "rule", {"expected_time", "round_robin", "least_in_flight", "plain_hash"}, "expected_time");
+    const std::string name
+        = table.choice("rule", {"expected_time", "round_robin", "least_in_flight", "plain_hash"}, "expected_time");
     if (name == "round_robin") {
         return PlacementRule::RoundRobin;
     }
@@ -68,13 +68,21 @@
     table.finish();
 }
 
+void readOverload(CheckedTable table, OverloadSettings &overload)
+{
+    overload.refuseAboveObjectives = table.number("refuse_above_objectives", 0.1, 1e6, overload.refuseAboveObjectives);
+    overload.refuseReturningAbove = table.number("refuse_returning_above", 0.01, 1e6, overload.refuseReturningAbove);
+    overload.longestWaitShare = table.number("longest_wait_share", 0, 1, overload.longestWaitShare);
+    table.finish();
+}
+
 void readRetries(CheckedTable table, RetryAllowance &retries)
 {
     constexpr double MOST_SECONDS = 3600;
     constexpr double MICROSECONDS_PER_SECOND = 1e6;
     retries.ratio = table.number("ratio", 0, 1, retries.ratio);
-    retries.window = Duration(static_cast<std::int64_t>(
-        table.number("window_s", 0.1, MOST_SECONDS, 10) * MICROSECONDS_PER_SECOND));
+    retries.window = Duration(
+        static_cast<std::int64_t>(table.number("window_s", 0.1, MOST_SECONDS, 10) * MICROSECONDS_PER_SECOND));
     retries.fleetSlack = table.number("fleet_slack", 0, 1e9, retries.fleetSlack);
     retries.usedShare = table.number("used_share", 0, 1, retries.usedShare);
     table.finish();
@@ -101,6 +109,7 @@
     out.listInterval = root.span("list_interval_ms", 50, MOST_MS, DEFAULT_LIST_INTERVAL_MS);
     readRetries(root.table("retries"), out.retries);
     readPlacement(root.table("placement"), out.placement);
+    readOverload(root.table("overload"), out.overload);
     root.finish();
     return out;
 }
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "address.h"
+#include "overloadpolicy.h"
 #include "placement.h"
 #include "retrywindow.h"
 
@@ -33,6 +34,7 @@
     Duration listInterval{};
     RetryAllowance retries;
     PlacementPolicy placement;
+    OverloadSettings overload;
 };
 
 /** Reads a settings file. Throws UserError with file, line, key and what is allowed. */
--- a/src/gateway/peerdigest.cpp
+++ b/src/gateway/peerdigest.cpp
@@ -35,21 +35,22 @@
     std::ostringstream stream;
     Poco::BinaryWriter out(stream, Poco::BinaryWriter::NETWORK_BYTE_ORDER);
     out << FORMAT_VERSION << digest.name << Poco::UInt64(digest.incarnation) << Poco::UInt32(digest.sequence)
-        << static_cast<float>(digest.demand.prefillMsPerSecond) << static_cast<float>(digest.demand.longAnswers);
+        << Poco::UInt64(digest.configurationRevision) << static_cast<float>(digest.demand.prefillMsPerSecond)
+        << static_cast<float>(digest.demand.longAnswers);
     const std::size_t shares = std::min(digest.shares.size(), MOST_SHARES);
     out << static_cast<Poco::UInt8>(shares);
     for (std::size_t i = 0; i < shares; ++i) {
         const EndpointShare &share = digest.shares[i];
-        out << Poco::UInt32(share.endpoint) << Poco::UInt16(share.inFlight)
-            << Poco::UInt32(share.pendingPrefillTokens);
+        out << Poco::UInt32(share.endpoint) << Poco::UInt16(share.inFlight) << Poco::UInt32(share.pendingPrefillTokens);
     }
     const std::size_t suspicions = std::min(digest.suspicions.size(), MOST_SUSPICIONS);
     out << static_cast<Poco::UInt8>(suspicions);
     for (std::size_t i = 0; i < suspicions; ++i) {
         const Suspicion &suspicion = digest.suspicions[i];
-        const auto ageMs = static_cast<Poco::UInt32>(std::max<std::int64_t>(0, toMilliseconds(now - suspicion.lastCrash)));
-        out << Poco::UInt64(suspicion.fingerprint) << static_cast<Poco::UInt8>(std::min(suspicion.crashes, 255)) << ageMs
-            << suspicion.endpoint;
+        const auto ageMs
+            = static_cast<Poco::UInt32>(std::max<std::int64_t>(0, toMilliseconds(now - suspicion.lastCrash)));
+        out << Poco::UInt64(suspicion.fingerprint) << static_cast<Poco::UInt8>(std::min(suspicion.crashes, 255))
+            << ageMs << suspicion.endpoint;
     }
     out.flush();
     return stream.str();
@@ -69,10 +70,12 @@
     Poco::UInt32 sequence = 0;
     float prefillMsPerSecond = 0;
     float longAnswers = 0;
-    in >> out.name >> incarnation >> sequence >> prefillMsPerSecond >> longAnswers;
+    Poco::UInt64 configurationRevision = 0;
+    in >> out.name >> incarnation >> sequence >> configurationRevision >> prefillMsPerSecond >> longAnswers;
     out.demand = {prefillMsPerSecond, longAnswers};
     out.incarnation = incarnation;
     out.sequence = sequence;
+    out.configurationRevision = configurationRevision;
     Poco::UInt8 count = 0;
     in >> count;
     for (int i = 0; i < count && in.good(); ++i) {
--- a/src/gateway/peerdigest.h
+++ b/src/gateway/peerdigest.h
@@ -38,6 +38,8 @@
     std::uint64_t incarnation = 0;
     /** Goes up with each digest of one incarnation. */
     std::uint32_t sequence = 0;
+    /** Revision of the configuration in force there, by the store's count; 0 while there is none. */
+    std::uint64_t configurationRevision = 0;
     WorkloadDemand demand;
     /** Endpoints at which the gateway has requests. */
     std::vector<EndpointShare> shares;
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -24,8 +24,8 @@
 }
 
 /** The endpoint to which every process sends a subject first, so that its prompt is read only once. */
-const EndpointRecord *homeOf(const std::vector<PlacementCandidate> &candidates, const std::set<std::string> &fitting,
-    const std::string &subject)
+const EndpointRecord *homeOf(
+    const std::vector<PlacementCandidate> &candidates, const std::set<std::string> &fitting, const std::string &subject)
 {
     const std::uint64_t seed = contentHash(subject);
     const EndpointRecord *home = nullptr;
@@ -46,8 +46,8 @@
 /** Requests of all callers there: what the endpoint reported, or what the processes know, whichever is more. */
 double loadOf(const PlacementCandidate &candidate, TimePoint now)
 {
-    return std::max(candidate.standing->load(now),
-        static_cast<double>(candidate.standing->inFlight() + candidate.peers.inFlight));
+    return std::max(
+        candidate.standing->load(now), static_cast<double>(candidate.standing->inFlight() + candidate.peers.inFlight));
 }
 
 std::int64_t sharedTokens(const PromptTraits &prompt)
@@ -77,9 +77,8 @@
     case PlacementRule::RoundRobin:
         return {candidates[m_turn++ % candidates.size()].record, 0, 0, 0, 0, false};
     case PlacementRule::LeastInFlight: {
-        const auto least = std::min_element(candidates.begin(), candidates.end(), [](const auto &a, const auto &b) {
-            return a.standing->inFlight() < b.standing->inFlight();
-        });
+        const auto least = std::min_element(candidates.begin(), candidates.end(),
+            [](const auto &a, const auto &b) { return a.standing->inFlight() < b.standing->inFlight(); });
         return {least->record, 0, 0, 0, 0, false};
     }
     case PlacementRule::PlainHash:
@@ -127,11 +126,13 @@
 {
     // Every process ranks the endpoints alike, so that all agree on who serves what.
     std::vector<std::pair<std::uint64_t, std::string>> ranked;
+    ranked.reserve(candidates.size());
     for (const auto &candidate : candidates) {
         ranked.emplace_back(contentHash(candidate.record->id), candidate.record->id);
     }
     std::sort(ranked.begin(), ranked.end());
-    const auto border = ranked.begin() + static_cast<std::ptrdiff_t>(m_split.longAnswerEndpoints(ranked.size(), m_policy.engine, now));
+    const auto border = ranked.begin()
+        + static_cast<std::ptrdiff_t>(m_split.longAnswerEndpoints(ranked.size(), m_policy.engine, now));
     const bool isLongAnswer = workloadOf(prompt, m_policy.engine) == WorkloadKind::LongAnswer;
     std::set<std::string> out;
     for (auto it = isLongAnswer ? ranked.begin() : border; it != (isLongAnswer ? border : ranked.end()); ++it) {
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -99,8 +99,8 @@
     PlacementChooser(const PlacementPolicy &policy, std::string ownFailureDomain);
 
     /** `draw` is uniform in [0, 1) and breaks ties. Suspect endpoints are left out while others remain. */
-    Placement choose(const std::vector<PlacementCandidate> &candidates, const PromptTraits *prompt, double draw,
-        TimePoint now);
+    Placement choose(
+        const std::vector<PlacementCandidate> &candidates, const PromptTraits *prompt, double draw, TimePoint now);
 
     void noteStarted(const PromptTraits &prompt, TimePoint now)
     {
@@ -116,8 +116,8 @@
     }
 
 private:
-    Placement chooseByTime(
-        const std::vector<PlacementCandidate> &candidates, const PromptTraits *prompt, double draw, TimePoint now) const;
+    Placement chooseByTime(const std::vector<PlacementCandidate> &candidates, const PromptTraits *prompt, double draw,
+        TimePoint now) const;
     double expectedMs(const PlacementCandidate &candidate, bool hasPrompt, std::int64_t prefill, TimePoint now) const;
     double costOf(const PlacementCandidate &candidate, bool hasPrompt, std::int64_t prefill, TimePoint now) const;
     /** The ids of the candidates that serve the workload of `prompt`. */
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -77,8 +77,8 @@
         refuse(GatewayRefusal::Quarantined);
         return;
     }
-    m_deadline = m_request.arrivedAt
-        + std::min(m_admitted.route->timeout, m_traits.patience.value_or(DEFAULT_PATIENCE));
+    m_deadline
+        = m_request.arrivedAt + std::min(m_admitted.route->timeout, m_traits.patience.value_or(DEFAULT_PATIENCE));
     m_deadlineTimer = m_gateway.loop().callAt(m_deadline, [this] { deadlineReached(); });
     if (!m_gateway.accepts(longestDuration())) {
         refuse(GatewayRefusal::Stopping);
@@ -111,11 +111,15 @@
     std::vector<PlacementCandidate> candidates;
     for (const EndpointRecord *record : m_gateway.endpoints().usable(m_service)) {
         if (m_tried.count(record->id) == 0) {
-            candidates.push_back({record, &m_gateway.standing(record->id), m_gateway.peers().loadAt(endpointHash(record->id))});
+            candidates.push_back(
+                {record, &m_gateway.standing(record->id), m_gateway.peers().loadAt(endpointHash(record->id))});
         }
     }
     while (!candidates.empty()) {
         const Placement placement = m_gateway.placement().choose(candidates, prompt, m_gateway.draw(), now);
+        if (refusedForOverload(placement)) {
+            return;
+        }
         auto connection = m_gateway.pool().take(*placement.endpoint, m_gateway.connectionLimit(m_service));
         if (connection) {
             startAttempt(placement, std::move(connection));
@@ -128,6 +132,26 @@
     giveUp(AttemptEnd::NotSent, m_tried.empty() ? GatewayRefusal::NoEndpoint : GatewayRefusal::NotReached);
 }
 
+bool RequestFlow::refusedForOverload(const Placement &placement)
+{
+    if (!m_traits.prompt || m_sends > 0) {
+        return false;
+    }
+    OverloadInputs inputs;
+    inputs.expectedFirstEvent = Duration(static_cast<std::int64_t>(placement.expectedMs * 1000));
+    inputs.objective = m_admitted.route->objective;
+    inputs.timeLeft = timeLeft();
+    inputs.usualPatience = m_admitted.route->timeout;
+    const OverloadDecision decision = decideOverload(m_gateway.overload(), inputs, m_gateway.draw());
+    const auto *away = std::get_if<TurnAway>(&decision);
+    if (away == nullptr) {
+        return false;
+    }
+    m_placement = placement;
+    refuse(GatewayRefusal::Overloaded, away->retryAfter);
+    return true;
+}
+
 void RequestFlow::startAttempt(const Placement &placement, std::unique_ptr<HttpClientConnection> connection)
 {
     const TimePoint now = m_gateway.loop().now();
@@ -266,8 +290,8 @@
         m_firstEventAfter = m_gateway.loop().now() - m_request.arrivedAt;
         HttpResponseHead head{m_answerHead.status, m_answerHead.reason, endToEndFields(m_answerHead.fields)};
         m_caller->beginStream(std::move(head));
-        m_gateway.metrics().observe("cyclamenturn_first_event_seconds", {{"route", m_admitted.route->name}},
-            m_firstEventAfter);
+        m_gateway.metrics().observe(
+            "cyclamenturn_first_event_seconds", {{"route", m_admitted.route->name}}, m_firstEventAfter);
     }
     ++m_eventsDelivered;
     m_caller->sendPiece(event);
@@ -383,8 +407,7 @@
     if (end == AttemptEnd::NotSent) {
         return true;
     }
-    const bool allowed
-        = m_gateway.retries().tryTake(m_service, m_gateway.gateways(), m_gateway.loop().now());
+    const bool allowed = m_gateway.retries().tryTake(m_service, m_gateway.gateways(), m_gateway.loop().now());
     if (!allowed) {
         m_gateway.metrics().count("cyclamenturn_resends_refused", {{"reason", "allowance"}});
     }
@@ -431,8 +454,7 @@
 {
     const bool waiting = m_connection != nullptr && m_connection->isConnected();
     endAttempt(false);
-    giveUp(AttemptEnd::Lost,
-        waiting || m_mayHaveRun ? GatewayRefusal::TimedOut : GatewayRefusal::TimedOutUnsent);
+    giveUp(AttemptEnd::Lost, waiting || m_mayHaveRun ? GatewayRefusal::TimedOut : GatewayRefusal::TimedOutUnsent);
 }
 
 void RequestFlow::callerLeft()
@@ -442,11 +464,18 @@
 }
 
 void RequestFlow::refuse(GatewayRefusal refusal)
+{
+    const bool isUnknownWait = refusal == GatewayRefusal::NoConfiguration || refusal == GatewayRefusal::NoEndpoint;
+    const Duration patience = m_traits.patience.value_or(DEFAULT_PATIENCE);
+    refuse(refusal, isUnknownWait ? std::max(RETRY_SOON, patience * 3 / 10) : RETRY_SOON);
+}
+
+void RequestFlow::refuse(GatewayRefusal refusal, Duration retryAfter)
 {
     HttpResponseHead head{statusOf(refusal), "", {}};
     head.fields.add("Content-Type", "text/plain");
     if (head.status == UNAVAILABLE || head.status == TOO_MANY_REQUESTS) {
-        head.fields.add("Retry-After", secondsText(RETRY_SOON));
+        head.fields.add("Retry-After", secondsText(retryAfter));
     }
     m_gateway.metrics().count("cyclamenturn_refusals", {{"reason", toString(refusal)}});
     answer(std::move(head), std::string(toString(refusal)) + "\n", toString(refusal));
@@ -490,7 +519,8 @@
             .field("prefill_tokens", m_placement.prefillTokens)
             .field("home", m_placement.isHome ? 1 : 0)
             .field("long_answer_endpoints", static_cast<long long>(m_placement.longAnswerEndpoints));
-        m_gateway.metrics().observe("cyclamenturn_request_seconds", {{"route", route->name}, {"outcome", outcome}}, took);
+        m_gateway.metrics().observe(
+            "cyclamenturn_request_seconds", {{"route", route->name}, {"outcome", outcome}}, took);
     }
     if (m_configuration) {
         event.field("configuration", static_cast<long long>(m_configuration->version()));
--- a/src/gateway/requestflow.h
+++ b/src/gateway/requestflow.h
@@ -37,6 +37,8 @@
     void exchangeFailed(ExchangeFailure failure) override;
 
     void sendToEndpoint();
+    /** Turns the request away and returns true when its first event would come too late. */
+    bool refusedForOverload(const Placement &placement);
     void startAttempt(const Placement &placement, std::unique_ptr<HttpClientConnection> connection);
     void armSilenceTimer(Duration wait);
     void silenceDetected();
@@ -57,6 +59,7 @@
     void giveUp(AttemptEnd end, GatewayRefusal reason);
 
     void refuse(GatewayRefusal refusal);
+    void refuse(GatewayRefusal refusal, Duration retryAfter);
     void answer(HttpResponseHead head, const std::string &body, const char *outcome);
     void finish(int status, const char *outcome);
     Duration timeLeft() const;
--- a/src/gateway/resendpolicy.cpp
+++ b/src/gateway/resendpolicy.cpp
@@ -27,7 +27,7 @@
         return state.sends < route.maxAttempts ? ResendChoice::Resend : ResendChoice::GiveUp;
     case AttemptEnd::FailureAnswer:
         return route.isRepeatable() && !state.hasDelivered && state.sends < route.maxAttempts ? ResendChoice::Resend
-                                                                                             : ResendChoice::GiveUp;
+                                                                                              : ResendChoice::GiveUp;
     case AttemptEnd::Lost:
         return route.isRepeatable() && state.sends < route.maxAttempts ? ResendChoice::Resend : ResendChoice::GiveUp;
     }
--- a/src/gateway/storelink.cpp
+++ b/src/gateway/storelink.cpp
@@ -17,12 +17,17 @@
 constexpr int OK = 200;
 constexpr int NOT_FOUND = 404;
 constexpr int GONE = 410;
-/** Bounds how long a silently broken connection hides changes; a configuration is due within two seconds. */
-constexpr Duration WATCH_WAIT = milliseconds(2000);
+/** Each return of a watch is a call. A watch that broke silently is noticed sooner than this through the other
+ * gateways, whose watches end at other times and whose digests carry the revision. */
+constexpr Duration WATCH_WAIT = milliseconds(6000);
+/** While no other gateway is known, a watch alone must notice within the two seconds in which a change is due. */
+constexpr Duration LONE_WATCH_WAIT = milliseconds(2000);
 /** A watch without its answer for this long on top of its wait is lost. */
-constexpr Duration WATCH_SLACK = milliseconds(700);
+constexpr Duration WATCH_SLACK = milliseconds(500);
+/** At most one read in this time because another process has a newer configuration. */
+constexpr Duration HINT_INTERVAL = milliseconds(400);
 /** Far above the store's usual few milliseconds, and enough for a store slowed a hundredfold. */
-constexpr Duration READ_TIMEOUT = milliseconds(900);
+constexpr Duration READ_TIMEOUT = milliseconds(800);
 constexpr Duration RETRY_WAIT = milliseconds(250);
 /** Wait for the first configuration of a fleet that has just been set up. */
 constexpr Duration ABSENT_WAIT = milliseconds(300);
@@ -117,26 +122,42 @@
 
 void StoreLink::watchConfiguration()
 {
-    const StoreRequest request = m_codec.watchConfigurationCall(m_watchedRevision, WATCH_WAIT);
-    begin(m_configuration, request, WATCH_WAIT + WATCH_SLACK, [this](int status, const std::string &body) {
-        if (status != OK) {
-            // A history that is gone is no outage; a fresh read catches up.
-            if (status != GONE) {
-                noteAvailable(m_configuration, false, "status " + std::to_string(status));
+    const Duration wait = m_hasPeers ? WATCH_WAIT : LONE_WATCH_WAIT;
+    m_watching = true;
+    begin(m_configuration, m_codec.watchConfigurationCall(m_watchedRevision, wait), wait + WATCH_SLACK,
+        [this](int status, const std::string &body) {
+            m_watching = false;
+            if (status != OK) {
+                // A history that is gone is no outage; a fresh read catches up.
+                if (status != GONE) {
+                    noteAvailable(m_configuration, false, "status " + std::to_string(status));
+                }
+                readConfiguration();
+                return;
             }
-            readConfiguration();
-            return;
-        }
-        try {
-            const StorePage page = m_codec.decodeWatch(body);
-            m_watchedRevision = std::max(m_watchedRevision, page.storeRevision);
-            handleConfigurationItems(page.items);
-            watchConfiguration();
-        } catch (const MessageFormatError &error) {
-            LogEvent("store_answer_unreadable", LogEvent::Level::Error).field("reason", error.what());
-            retryConfiguration(RETRY_WAIT);
-        }
-    });
+            try {
+                const StorePage page = m_codec.decodeWatch(body);
+                m_watchedRevision = std::max(m_watchedRevision, page.storeRevision);
+                handleConfigurationItems(page.items);
+                watchConfiguration();
+            } catch (const MessageFormatError &error) {
+                LogEvent("store_answer_unreadable", LogEvent::Level::Error).field("reason", error.what());
+                retryConfiguration(RETRY_WAIT);
+            }
+        });
+}
+
+void StoreLink::noteConfigurationElsewhere(std::uint64_t revision)
+{
+    if (revision <= m_configurationRevision || !m_watching || m_loop.now() - m_hintedAt < HINT_INTERVAL) {
+        return;
+    }
+    m_hintedAt = m_loop.now();
+    LogEvent("configuration_newer_elsewhere")
+        .field("revision", static_cast<long long>(revision))
+        .field("in_hand", static_cast<long long>(m_configurationRevision));
+    m_watching = false;
+    readConfiguration();
 }
 
 void StoreLink::handleConfigurationItems(const std::vector<StoreItem> &items)
--- a/src/gateway/storelink.h
+++ b/src/gateway/storelink.h
@@ -37,6 +37,17 @@
 
     void start();
     void setAddress(const Address &address);
+    /** Another process has that revision of the configuration: reads it if the one in hand is older. */
+    void noteConfigurationElsewhere(std::uint64_t revision);
+    /** Whether other gateways would tell of a change that this process's watch misses. */
+    void setHasPeers(bool hasPeers)
+    {
+        m_hasPeers = hasPeers;
+    }
+    std::uint64_t configurationRevision() const
+    {
+        return m_configurationRevision;
+    }
     std::uint64_t calls() const
     {
         return m_calls;
@@ -75,6 +86,11 @@
     std::uint64_t m_watchedRevision = 0;
     /** Revision of the configuration in hand; never goes down. */
     std::uint64_t m_configurationRevision = 0;
+    /** When the configuration was last read because of what another process has. */
+    TimePoint m_hintedAt;
+    bool m_watching = false;
+    /** Whether other gateways have been heard, so that their digests tell of changes. */
+    bool m_hasPeers = false;
     /** Pages of the list being read. */
     std::vector<StoreItem> m_pages;
     /** Store revision of the first page: the list holds everything up to it. */
--- a/src/gateway/workloadsplit.cpp
+++ b/src/gateway/workloadsplit.cpp
@@ -70,7 +70,8 @@
     }
     m_prefillMs *= fading(now - m_notedAt);
     m_notedAt = now;
-    m_prefillMs += ownPrefillMs(prompt, engine) * engine.rereadFactor + expectedOutputTokens(prompt) * engine.batchedTokenMs;
+    m_prefillMs
+        += ownPrefillMs(prompt, engine) * engine.rereadFactor + expectedOutputTokens(prompt) * engine.batchedTokenMs;
 }
 
 void WorkloadSplit::noteEnded(const PromptTraits &prompt, const EngineCostModel &engine)
@@ -87,7 +88,8 @@
     return {m_prefillMs * fading(now - m_notedAt) / seconds, static_cast<double>(m_longAnswers)};
 }
 
-std::size_t WorkloadSplit::longAnswerEndpoints(std::size_t endpoints, const EngineCostModel &engine, TimePoint now) const
+std::size_t WorkloadSplit::longAnswerEndpoints(
+    std::size_t endpoints, const EngineCostModel &engine, TimePoint now) const
 {
     constexpr double MS_PER_SECOND = 1000;
     const WorkloadDemand demand = own(now);
--- a/src/transport/httpclientconnection.cpp
+++ b/src/transport/httpclientconnection.cpp
@@ -66,8 +66,7 @@
         m_connection.input().clear();
         return;
     }
-    while (advance()) {
-    }
+    while (advance()) { }
 }
 
 bool HttpClientConnection::skipForeignAnswer()
--- a/src/transport/httpmessage.cpp
+++ b/src/transport/httpmessage.cpp
@@ -19,7 +19,9 @@
 bool equalsIgnoringCase(std::string_view left, std::string_view right)
 {
     return left.size() == right.size() && std::equal(left.begin(), left.end(), right.begin(), [](char a, char b) {
-        const auto lower = [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; };
+        const auto lower = [](char c) {
+            return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+        };
         return lower(a) == lower(b);
     });
 }
@@ -69,9 +71,9 @@
 
 HttpFields endToEndFields(const HttpFields &fields)
 {
-    static constexpr std::string_view CONNECTION_FIELDS[] = {"Connection", "Keep-Alive", "Proxy-Connection",
-        "Proxy-Authenticate", "Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
-        "Expect", "HTTP2-Settings"};
+    static constexpr std::string_view CONNECTION_FIELDS[]
+        = {"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE", "Trailer",
+            "Transfer-Encoding", "Upgrade", "Content-Length", "Expect", "HTTP2-Settings"};
     HttpFields out;
     for (const auto &field : fields.all()) {
         const bool known = std::any_of(std::begin(CONNECTION_FIELDS), std::end(CONNECTION_FIELDS),
--- a/src/transport/httpserver.h
+++ b/src/transport/httpserver.h
@@ -26,7 +26,8 @@
 class HttpServer : private SocketHandler
 {
 public:
-    using RequestHandler = std::function<void(const HttpServerConnectionPtr &, ReceivedRequest)>;
+    /** The handler may move out of the request. */
+    using RequestHandler = std::function<void(const HttpServerConnectionPtr &, ReceivedRequest &)>;
 
     HttpServer(EventLoop &loop, const Address &address, RequestHandler handler);
     ~HttpServer() override;
@@ -61,9 +62,9 @@
     friend class HttpServerConnection;
 
     void socketReady(int modes) override;
-    void handle(const HttpServerConnectionPtr &connection, ReceivedRequest request)
+    void handle(const HttpServerConnectionPtr &connection, ReceivedRequest &request)
     {
-        m_handler(connection, std::move(request));
+        m_handler(connection, request);
     }
     void remove(HttpServerConnection *connection);
 
--- a/src/transport/httpserverconnection.cpp
+++ b/src/transport/httpserverconnection.cpp
@@ -31,8 +31,7 @@
 
 }
 
-HttpServerConnection::HttpServerConnection(
-    HttpServer &server, EventLoop &loop, const Poco::Net::StreamSocket &socket)
+HttpServerConnection::HttpServerConnection(HttpServer &server, EventLoop &loop, const Poco::Net::StreamSocket &socket)
     : m_server(server)
     , m_loop(loop)
     , m_connection(loop, socket, this)
@@ -88,8 +87,7 @@
     }
     m_processing = true;
     const auto self = shared_from_this();
-    while (!m_busy && !m_closeWhenDrained && !m_connection.input().empty() && readRequest()) {
-    }
+    while (!m_busy && !m_closeWhenDrained && !m_connection.input().empty() && readRequest()) { }
     m_processing = false;
 }
 
@@ -123,7 +121,7 @@
     ReceivedRequest request{std::move(m_parser->request()), m_parser->takeBody(), m_requestStart};
     m_parser.reset();
     m_toHead = request.head.method == "HEAD";
-    m_server.handle(shared_from_this(), std::move(request));
+    m_server.handle(shared_from_this(), request);
     return true;
 }
 
--- a/tools/cyclamenturn-gatewayd.cpp
+++ b/tools/cyclamenturn-gatewayd.cpp
@@ -133,7 +133,6 @@
         }
         if (reloadRequested != 0 || loop.now() - lastReload >= SETTINGS_INTERVAL) {
             if (reloadRequested != 0) {
-                LogEvent("reload_requested");
                 reloadSettings(settingsFile, gateway);
             }
             reloadRequested = 0;
