--- a/src/transport/httpparser.cpp
+++ b/src/transport/httpparser.cpp
@@ -155,6 +155,10 @@
         if (encodings == 1 && !equalsIgnoringCase(*fields.find("Transfer-Encoding"), "chunked")) {
             throw HttpSyntaxError("a transfer encoding other than chunked", NOT_IMPLEMENTED);
         }
+        long long length = 0;
+        if (lengths == 1 && !parseDecimal(*fields.find("Content-Length"), length)) {
+            throw HttpSyntaxError("the length of the body isn't a number", BAD_REQUEST);
+        }
         if (isRequest && fields.count("Host") != 1) {
             throw HttpSyntaxError("not exactly one Host field", BAD_REQUEST);
         }
--- /dev/null
+++ b/test/correctness/endpointdirectory.cpp
@@ -0,0 +1,91 @@
+/** \file
+ * What a gateway believes of the endpoints while the list is late, lapsed or old.
+ */
+#include "gateway/endpointdirectory.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Cyclamenturn;
+
+namespace
+{
+
+EndpointRecord record(const std::string &id, bool leaving = false, std::int64_t startedAtMs = 1)
+{
+    EndpointRecord out;
+    out.id = id;
+    out.service = "s";
+    out.address = {"10.0.0.1", 80};
+    out.isLeaving = leaving;
+    out.startedAtMs = startedAtMs;
+    return out;
+}
+
+const TimePoint START = timeFromMilliseconds(100000);
+
+TimePoint at(std::int64_t ms)
+{
+    return START + milliseconds(ms);
+}
+
+std::vector<EndpointChange::Kind> kinds(const std::vector<EndpointChange> &changes)
+{
+    std::vector<EndpointChange::Kind> out;
+    out.reserve(changes.size());
+    for (const auto &change : changes) {
+        out.push_back(change.kind);
+    }
+    return out;
+}
+
+using Kind = EndpointChange::Kind;
+
+}
+
+TEST_CASE("a leaving endpoint and one that is gone get no work")
+{
+    EndpointDirectory directory;
+    directory.apply({record("a"), record("b"), record("c")}, 1, at(0));
+    CHECK(kinds(directory.apply({record("a"), record("b", true)}, 2, at(1000)))
+        == std::vector<Kind>{Kind::Leaving, Kind::Gone});
+    REQUIRE(directory.usable("s").size() == 1);
+    CHECK(directory.usable("s")[0]->id == "a");
+    CHECK(directory.usable("other").empty());
+}
+
+TEST_CASE("an older list changes nothing")
+{
+    EndpointDirectory directory;
+    directory.apply({record("a", true)}, 5, at(0));
+    CHECK(directory.apply({record("a")}, 4, at(100)).empty());
+    CHECK(directory.usable("s").empty());
+    CHECK(directory.revision() == 5);
+}
+
+TEST_CASE("entries that lapsed during an outage are kept until live endpoints are back")
+{
+    EndpointDirectory directory;
+    directory.apply({record("a"), record("b")}, 1, at(0));
+    directory.noteReadFailed();
+    CHECK(directory.apply({}, 9, at(5000)).empty());
+    CHECK(directory.usable("s").size() == 2);
+    directory.apply({record("a")}, 10, at(6500));
+    CHECK(directory.usable("s").size() == 2);
+    CHECK(kinds(directory.apply({record("a")}, 11, at(7400))) == std::vector<Kind>{Kind::Gone});
+    CHECK(directory.usable("s").size() == 1);
+}
+
+TEST_CASE("one failed read is no outage")
+{
+    EndpointDirectory directory;
+    directory.apply({record("a"), record("b")}, 1, at(0));
+    directory.noteReadFailed();
+    CHECK(kinds(directory.apply({record("a")}, 2, at(1500))) == std::vector<Kind>{Kind::Gone});
+}
+
+TEST_CASE("a restart under the same id is a new incarnation")
+{
+    EndpointDirectory directory;
+    directory.apply({record("a")}, 1, at(0));
+    CHECK(kinds(directory.apply({record("a", false, 2)}, 2, at(1000))) == std::vector<Kind>{Kind::Restarted});
+}
--- /dev/null
+++ b/test/correctness/gateway_decisions.cpp
@@ -0,0 +1,203 @@
+/** \file
+ * Decisions about one request: admission, resends and their allowance, refusals under overload, planned stops.
+ */
+#include "gateway/admitrequest.h"
+#include "gateway/eventsplitter.h"
+#include "gateway/overloadpolicy.h"
+#include "gateway/resendpolicy.h"
+#include "gateway/retrywindow.h"
+#include "gateway/stopplan.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Cyclamenturn;
+
+namespace
+{
+
+const TimePoint START = timeFromMilliseconds(100000);
+
+Route route(const std::string &host, const std::string &prefix, RequestKind kind = RequestKind::Idempotent)
+{
+    Route out;
+    out.name = prefix;
+    out.host = host;
+    out.prefix = prefix;
+    out.kind = kind;
+    out.timeout = milliseconds(1000);
+    out.objective = milliseconds(100);
+    out.priority = 1;
+    out.services = {{"s", 1}};
+    out.maxAttempts = 2;
+    return out;
+}
+
+RoutingConfiguration configuration()
+{
+    Route open = route("h", "/open/");
+    open.isPublic = true;
+    return RoutingConfiguration(3, {route("h", "/a/"), route("h", "/a/b/"), open}, {}, CallerLimits(), true,
+        {{"key-1", CallerTeam{"team-1", 0}}, {"key-2", CallerTeam{"team-2", std::nullopt}}});
+}
+
+AdmissionResult admit(const std::string &host, const std::string &target, const std::string &key)
+{
+    static const RoutingConfiguration CONFIGURATION = configuration();
+    HttpRequestHead head{"GET", target, {}};
+    head.fields.add("Host", host);
+    RequestTraits traits;
+    traits.attemptId = "1";
+    traits.key = key;
+    return admitRequest(&CONFIGURATION, head, traits);
+}
+
+std::string routeName(const AdmissionResult &result)
+{
+    const auto *admitted = std::get_if<AdmittedRequest>(&result);
+    return admitted != nullptr ? admitted->route->name : toString(std::get<GatewayRefusal>(result));
+}
+
+}
+
+TEST_CASE("the longest prefix of the host's routes is chosen")
+{
+    CHECK(routeName(admit("h", "/a/x", "key-1")) == "/a/");
+    CHECK(routeName(admit("H:80", "/a/b/x?q=/a/c/", "key-1")) == "/a/b/");
+    CHECK(routeName(admit("h", "/a/bc", "key-1")) == "/a/");
+    CHECK(routeName(admit("h", "/a", "key-1")) == "unknown_route");
+    CHECK(routeName(admit("other", "/a/x", "key-1")) == "unknown_route");
+    CHECK(routeName(admit("h", "http://h/a/x", "key-1")) == "bad_request");
+}
+
+TEST_CASE("a key decides team and priority, and only public routes do without")
+{
+    CHECK(routeName(admit("h", "/a/x", "")) == "unknown_key");
+    CHECK(routeName(admit("h", "/a/x", "key-3")) == "unknown_key");
+    CHECK(routeName(admit("h", "/open/x", "")) == "/open/");
+    const auto first = std::get<AdmittedRequest>(admit("h", "/a/x", "key-1"));
+    CHECK(first.team == "team-1");
+    CHECK(first.priority == 0);
+    const auto second = std::get<AdmittedRequest>(admit("h", "/a/x", "key-2"));
+    CHECK(second.priority == 1);
+    CHECK(engineUrgency(first) < engineUrgency(second));
+}
+
+TEST_CASE("without a configuration the answer promises that nothing ran")
+{
+    const AdmissionResult result = admitRequest(nullptr, HttpRequestHead(), RequestTraits());
+    CHECK(statusOf(std::get<GatewayRefusal>(result)) == 503);
+}
+
+TEST_CASE("two routes of one team differ in urgency as the routes do")
+{
+    Route urgent = route("h", "/u/");
+    urgent.priority = 0;
+    const Route other = route("h", "/o/");
+    CHECK(engineUrgency({&urgent, "t", 1}) < engineUrgency({&other, "t", 1}));
+    CHECK(engineUrgency({&other, "t", 0}) < engineUrgency({&urgent, "t", 1}));
+    CHECK(engineUrgency({&other, "t", 9}) <= 9);
+}
+
+TEST_CASE("resends follow from what is proved and what the route allows")
+{
+    const Duration enough = milliseconds(500);
+    struct Case
+    {
+        RequestKind kind;
+        bool canResume;
+        AttemptEnd end;
+        ResendState state;
+        ResendChoice choice;
+    };
+    const auto again = ResendChoice::Resend;
+    const auto stop = ResendChoice::GiveUp;
+    const Case cases[] = {
+        {RequestKind::NonIdempotent, false, AttemptEnd::NotSent, {0, false, enough}, again},
+        {RequestKind::NonIdempotent, false, AttemptEnd::OtherInstance, {0, false, enough}, again},
+        {RequestKind::NonIdempotent, false, AttemptEnd::NotRun, {1, false, enough}, again},
+        {RequestKind::NonIdempotent, false, AttemptEnd::NotRun, {2, false, enough}, stop},
+        {RequestKind::NonIdempotent, false, AttemptEnd::Lost, {1, false, enough}, stop},
+        {RequestKind::NonIdempotent, false, AttemptEnd::FailureAnswer, {1, false, enough}, stop},
+        {RequestKind::Idempotent, false, AttemptEnd::Lost, {1, false, enough}, again},
+        {RequestKind::Idempotent, false, AttemptEnd::Lost, {2, false, enough}, stop},
+        {RequestKind::Idempotent, false, AttemptEnd::FailureAnswer, {1, false, enough}, again},
+        {RequestKind::Idempotent, false, AttemptEnd::Lost, {1, false, milliseconds(5)}, stop},
+        {RequestKind::Stream, false, AttemptEnd::Lost, {1, false, enough}, stop},
+        {RequestKind::Stream, false, AttemptEnd::Lost, {1, true, enough}, stop},
+        {RequestKind::Stream, true, AttemptEnd::Lost, {1, true, enough}, again},
+        {RequestKind::Stream, true, AttemptEnd::FailureAnswer, {1, true, enough}, stop},
+    };
+    for (const auto &item : cases) {
+        Route subject = route("h", "/a/", item.kind);
+        subject.canResume = item.canResume;
+        INFO("kind " << static_cast<int>(item.kind) << ", end " << static_cast<int>(item.end) << ", sends "
+                     << item.state.sends);
+        CHECK(chooseResend(subject, item.end, item.state) == item.choice);
+    }
+}
+
+TEST_CASE("the parts of all processes together keep to the fleet's allowance in every window")
+{
+    constexpr int PROCESSES = 8;
+    constexpr int REQUESTS = 400;
+    RetryAllowance allowance;
+    allowance.fleetSlack = 100;
+    allowance.usedShare = 1;
+    int taken = 0;
+    for (int process = 0; process < PROCESSES; ++process) {
+        RetryWindow window(allowance);
+        for (int i = 0; i < REQUESTS / PROCESSES; ++i) {
+            window.noteRequest("s", START);
+        }
+        while (window.tryTake("s", PROCESSES, START)) {
+            ++taken;
+        }
+        CHECK_FALSE(window.tryTake("s", PROCESSES, START + milliseconds(9999)));
+    }
+    CHECK(taken <= static_cast<int>(0.2 * REQUESTS + 100));
+    CHECK(taken >= static_cast<int>(0.2 * REQUESTS));
+}
+
+TEST_CASE("a burst is turned away at once, to come back when there is room")
+{
+    const OverloadSettings settings;
+    OverloadInputs inputs;
+    inputs.objective = milliseconds(500);
+    inputs.timeLeft = milliseconds(4000);
+    inputs.usualPatience = milliseconds(4000);
+    inputs.expectedFirstEvent = milliseconds(1200);
+    CHECK(std::holds_alternative<TakeUp>(decideOverload(settings, inputs, 0.5)));
+    inputs.expectedFirstEvent = milliseconds(1700);
+    const auto early = std::get<TurnAway>(decideOverload(settings, inputs, 0.0)).retryAfter;
+    const auto late = std::get<TurnAway>(decideOverload(settings, inputs, 0.9)).retryAfter;
+    CHECK(early < late);
+    CHECK(late <= milliseconds(4000) / 3);
+    // Whoever comes back is taken as long as an answer can still be in time.
+    inputs.timeLeft = milliseconds(3500);
+    CHECK(std::holds_alternative<TakeUp>(decideOverload(settings, inputs, 0.5)));
+    inputs.expectedFirstEvent = milliseconds(2000);
+    CHECK(std::holds_alternative<TurnAway>(decideOverload(settings, inputs, 0.5)));
+}
+
+TEST_CASE("a planned stop serves on until the balancer has noticed and takes up only what fits")
+{
+    const StopPlan plan(START, milliseconds(8000));
+    CHECK(plan.accepts(milliseconds(12000), START + milliseconds(1000)));
+    CHECK_FALSE(plan.isOver(0, START + milliseconds(1000)));
+    const TimePoint noticed = START + StopPlan::BALANCER_NOTICE;
+    CHECK(plan.closesIdle(noticed));
+    CHECK(plan.accepts(milliseconds(4000), noticed));
+    CHECK_FALSE(plan.accepts(milliseconds(5500), noticed));
+    CHECK(plan.isOver(0, noticed));
+    CHECK_FALSE(plan.isOver(1, noticed));
+    CHECK(plan.isOver(1, START + milliseconds(7600)));
+}
+
+TEST_CASE("events come out whole, and the rest of a broken one is kept back")
+{
+    EventSplitter splitter;
+    CHECK(splitter.add("id: 1\nda").empty());
+    CHECK(splitter.add("ta: x\n\nid: 2\r\n\r\nid: 3\n")
+        == std::vector<std::string>{"id: 1\ndata: x\n\n", "id: 2\r\n\r\n"});
+    CHECK(splitter.rest() == "id: 3\n");
+}
--- /dev/null
+++ b/test/correctness/httpparser.cpp
@@ -0,0 +1,106 @@
+/** \file
+ * Strict parsing of HTTP: messages that two servers could read differently are refused.
+ */
+#include "transport/httpparser.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Cyclamenturn;
+
+namespace
+{
+
+constexpr HttpLimits LIMITS{512, 64};
+
+/** Feeds the bytes in pieces of `step`; returns the status due, or 200 when the request is whole. */
+int parseRequest(const std::string &bytes, std::size_t step)
+{
+    HttpParser parser = HttpParser::forRequest(LIMITS);
+    std::string input;
+    try {
+        for (std::size_t i = 0; i < bytes.size(); i += step) {
+            input += bytes.substr(i, step);
+            parser.consume(input);
+        }
+    } catch (const HttpSyntaxError &error) {
+        return error.status();
+    }
+    return parser.isDone() ? 200 : 0;
+}
+
+const std::string HOST = "Host: a\r\n";
+
+}
+
+TEST_CASE("requests with ambiguous framing are refused, however they are cut")
+{
+    struct Case
+    {
+        const char *name;
+        std::string bytes;
+        int status;
+    };
+    const Case cases[] = {
+        {"plain", "GET / HTTP/1.1\r\n" + HOST + "\r\n", 200},
+        {"length", "POST / HTTP/1.1\r\n" + HOST + "Content-Length: 2\r\n\r\nab", 200},
+        {"chunked", "POST / HTTP/1.1\r\n" + HOST + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", 200},
+        {"chunk extension", "POST / HTTP/1.1\r\n" + HOST + "Transfer-Encoding: chunked\r\n\r\n2;x=y\r\nab\r\n0\r\n\r\n",
+            200},
+        {"two lengths", "POST / HTTP/1.1\r\n" + HOST + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nabc", 400},
+        {"two equal lengths", "POST / HTTP/1.1\r\n" + HOST + "Content-Length: 2\r\nContent-Length: 2\r\n\r\nab", 400},
+        {"list of lengths", "POST / HTTP/1.1\r\n" + HOST + "Content-Length: 2, 2\r\n\r\nab", 400},
+        {"signed length", "POST / HTTP/1.1\r\n" + HOST + "Content-Length: +2\r\n\r\nab", 400},
+        {"length and chunked",
+            "POST / HTTP/1.1\r\n" + HOST + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+        {"chunked and length",
+            "POST / HTTP/1.1\r\n" + HOST + "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n0\r\n\r\n", 400},
+        {"other encoding", "POST / HTTP/1.1\r\n" + HOST + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n", 501},
+        {"encoding in a list", "POST / HTTP/1.1\r\n" + HOST + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 501},
+        {"space before the colon", "POST / HTTP/1.1\r\n" + HOST + "Content-Length : 2\r\n\r\nab", 400},
+        {"no host", "GET / HTTP/1.1\r\n\r\n", 400},
+        {"two hosts", "GET / HTTP/1.1\r\n" + HOST + HOST + "\r\n", 400},
+        {"wrong chunk size", "POST / HTTP/1.1\r\n" + HOST + "Transfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n0\r\n\r\n",
+            400},
+        {"chunk longer than its size",
+            "POST / HTTP/1.1\r\n" + HOST + "Transfer-Encoding: chunked\r\n\r\n1\r\nab\r\n0\r\n\r\n", 400},
+        {"body too large", "POST / HTTP/1.1\r\n" + HOST + "Content-Length: 65\r\n\r\n", 413},
+        {"header too large", "GET / HTTP/1.1\r\n" + HOST + "X: " + std::string(600, 'x') + "\r\n\r\n", 431},
+    };
+    for (const auto &item : cases) {
+        for (const std::size_t step : {std::size_t(1), std::size_t(7), item.bytes.size()}) {
+            INFO(item.name << ", pieces of " << step);
+            CHECK(parseRequest(item.bytes, step) == item.status);
+        }
+    }
+}
+
+TEST_CASE("an answer that ends early is never whole")
+{
+    const std::string cut[] = {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", "HTTP/1.1 200 OK\r\nContent-Le"};
+    for (auto bytes : cut) {
+        HttpParser parser = HttpParser::forResponse(LIMITS, false);
+        parser.consume(bytes);
+        CHECK_FALSE(parser.isDone());
+        CHECK_FALSE(parser.finishAtEnd());
+    }
+    HttpParser unframed = HttpParser::forResponse(LIMITS, false);
+    std::string bytes = "HTTP/1.1 200 OK\r\n\r\nabc";
+    unframed.consume(bytes);
+    CHECK_FALSE(unframed.isFramed());
+    CHECK(unframed.finishAtEnd());
+    CHECK(unframed.takeBody() == "abc");
+}
+
+TEST_CASE("fields of one connection aren't passed on")
+{
+    HttpFields fields;
+    fields.add("Connection", "close, X-Hop");
+    fields.add("X-Hop", "1");
+    fields.add("Keep-Alive", "timeout=5");
+    fields.add("Transfer-Encoding", "chunked");
+    fields.add("Accept", "a/b");
+    HttpFields expected;
+    expected.add("Accept", "a/b");
+    CHECK(endToEndFields(fields) == expected);
+}
--- /dev/null
+++ b/test/correctness/peerdigest.cpp
@@ -0,0 +1,82 @@
+/** \file
+ * What gateways tell each other, and what they make of late, doubled, foreign and missing digests.
+ */
+#include "gateway/peerview.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace Cyclamenturn;
+
+namespace
+{
+
+const TimePoint START = timeFromMilliseconds(100000);
+const Address FROM{"10.0.0.2", 7000};
+
+PeerDigest digest(const std::string &name, std::uint32_t sequence, std::uint16_t inFlight)
+{
+    PeerDigest out;
+    out.name = name;
+    out.incarnation = 5;
+    out.sequence = sequence;
+    out.configurationRevision = 77;
+    out.demand = {120, 3};
+    out.shares = {{9, inFlight, 1000}};
+    out.suspicions = {{42, 2, START - milliseconds(500), "e"}};
+    return out;
+}
+
+}
+
+TEST_CASE("a digest survives the way, with times as ages")
+{
+    const PeerDigest sent = digest("a", 1, 4);
+    const TimePoint otherClock = START + milliseconds(1000000);
+    const auto received = decodeDigest(encodeDigest(sent, START), otherClock);
+    REQUIRE(received);
+    CHECK(received->name == "a");
+    CHECK(received->configurationRevision == 77);
+    CHECK(received->demand == sent.demand);
+    CHECK(received->shares == sent.shares);
+    REQUIRE(received->suspicions.size() == 1);
+    CHECK(received->suspicions[0].lastCrash == otherClock - milliseconds(500));
+}
+
+TEST_CASE("bytes that aren't a whole digest are refused")
+{
+    const std::string bytes = encodeDigest(digest("a", 1, 4), START);
+    for (std::size_t length = 0; length < bytes.size(); ++length) {
+        CHECK_FALSE(decodeDigest(bytes.substr(0, length), START));
+    }
+    std::mt19937 random(3);
+    for (int i = 0; i < 2000; ++i) {
+        std::string noise = bytes;
+        noise[random() % noise.size()] = static_cast<char>(random());
+        (void)decodeDigest(noise, START); // must not crash or hang, whatever it makes of it
+    }
+}
+
+TEST_CASE("sums follow the newest digest of each peer and drop silent ones")
+{
+    PeerView view("self");
+    CHECK(view.apply(digest("a", 2, 4), FROM, START));
+    CHECK_FALSE(view.apply(digest("a", 1, 9), FROM, START));
+    CHECK_FALSE(view.apply(digest("self", 9, 9), FROM, START));
+    view.apply(digest("b", 1, 1), {"10.0.0.3", 7000}, START);
+    CHECK(view.loadAt(9).inFlight == 5);
+    CHECK(view.demand().longAnswers == 6);
+    view.apply(digest("a", 3, 0), FROM, START + milliseconds(1000));
+    CHECK(view.loadAt(9).inFlight == 1);
+    const auto gone = view.expire(START + PeerView::SILENCE_LIMIT);
+    CHECK(gone == std::vector<std::string>{"b"});
+    CHECK(view.loadAt(9).inFlight == 0);
+    CHECK(view.livePeers() == 1);
+    // A silent peer is told of this process for a while, in case only the way was cut.
+    CHECK(view.addresses().size() == 2);
+    const TimePoint allSilent = START + milliseconds(1000) + PeerView::SILENCE_LIMIT;
+    view.expire(allSilent);
+    CHECK(view.livePeers() == 0);
+    view.expire(allSilent + PeerView::CONTACT_LIMIT);
+    CHECK(view.addresses().empty());
+}
--- /dev/null
+++ b/test/correctness/placement.cpp
@@ -0,0 +1,183 @@
+/** \file
+ * Placement replayed under the loads that it answers: shared prompts, a burst of long prompts beside streams, failing
+ * endpoints. The made-up engine reads prompts one after the other at the rate of the cost model.
+ */
+#include "gateway/placement.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <random>
+
+using namespace Cyclamenturn;
+
+namespace
+{
+
+const TimePoint START = timeFromMilliseconds(100000);
+
+PromptTraits longPrompt(const std::string &subject, int number)
+{
+    PromptTraits out;
+    out.promptTokens = 9000;
+    out.outputTokenLimit = 104;
+    out.expectedOutputTokens = 52;
+    out.parts = {{"root", 2500}, {subject, 3800}, {"own-" + std::to_string(number), 2700}};
+    return out;
+}
+
+PromptTraits longAnswer(int number)
+{
+    PromptTraits out;
+    out.promptTokens = 800;
+    out.expectedOutputTokens = 290;
+    out.parts = {{"small", 120}, {"s" + std::to_string(number % 20), 80}, {"own-a" + std::to_string(number), 600}};
+    return out;
+}
+
+/** A fleet of endpoints as one gateway knows them. */
+class Fleet
+{
+public:
+    explicit Fleet(int endpoints)
+    {
+        for (int i = 0; i < endpoints; ++i) {
+            EndpointRecord record;
+            record.id = "endpoint-" + std::to_string(i);
+            record.failureDomain = "domain-" + std::to_string(i % 3);
+            record.slots = 64;
+            m_records.push_back(record);
+        }
+    }
+
+    std::vector<PlacementCandidate> candidates()
+    {
+        std::vector<PlacementCandidate> out;
+        for (const auto &record : m_records) {
+            out.push_back({&record, &m_standings[record.id], {}});
+        }
+        return out;
+    }
+    EndpointStanding &standing(const std::string &id)
+    {
+        return m_standings[id];
+    }
+    const std::vector<EndpointRecord> &records() const
+    {
+        return m_records;
+    }
+
+private:
+    std::vector<EndpointRecord> m_records;
+    std::map<std::string, EndpointStanding> m_standings;
+};
+
+}
+
+TEST_CASE("gateways send a subject to the same endpoint without agreement")
+{
+    Fleet fleet(9);
+    PlacementChooser first(PlacementPolicy(), "domain-0");
+    PlacementChooser second(PlacementPolicy(), "domain-2");
+    for (int i = 0; i < 50; ++i) {
+        const PromptTraits prompt = longPrompt("subject-" + std::to_string(i), i);
+        CHECK(first.choose(fleet.candidates(), &prompt, 0.1, START).endpoint
+            == second.choose(fleet.candidates(), &prompt, 0.9, START).endpoint);
+    }
+}
+
+TEST_CASE("a subject leaves its home only when waiting there costs more than reading it again")
+{
+    Fleet fleet(9);
+    PlacementChooser chooser(PlacementPolicy(), "domain-0");
+    const PromptTraits prompt = longPrompt("subject", 1);
+    const EndpointRecord *home = chooser.choose(fleet.candidates(), &prompt, 0.5, START).endpoint;
+    fleet.standing(home->id).noteSent(20000);
+    CHECK(chooser.choose(fleet.candidates(), &prompt, 0.5, START).endpoint == home);
+    fleet.standing(home->id).noteSent(200000);
+    CHECK(chooser.choose(fleet.candidates(), &prompt, 0.5, START).endpoint != home);
+}
+
+TEST_CASE("in a burst of long prompts the streams keep endpoints without them")
+{
+    constexpr int REQUESTS = 600;
+    Fleet fleet(9);
+    PlacementChooser chooser(PlacementPolicy(), "domain-0");
+    std::map<std::string, int> prompts;
+    std::map<std::string, int> answers;
+    std::mt19937 random(7);
+    for (int i = 0; i < REQUESTS; ++i) {
+        // Seventy long prompts and thirty long answers a second; each answer lasts for two seconds.
+        const TimePoint now = START + milliseconds(i * 10);
+        const bool isPrompt = random() % 10 < 7;
+        const PromptTraits prompt
+            = isPrompt ? longPrompt("subject-" + std::to_string(random() % 140), i) : longAnswer(i);
+        chooser.noteStarted(prompt, now);
+        if (!isPrompt && i >= 200) {
+            chooser.noteEnded(prompt);
+        }
+        const Placement placement = chooser.choose(fleet.candidates(), &prompt, 0.5, now);
+        REQUIRE(placement.endpoint != nullptr);
+        if (i >= REQUESTS / 2) {
+            ++(isPrompt ? prompts : answers)[placement.endpoint->id];
+        }
+        fleet.standing(placement.endpoint->id).noteCached(prompt, now);
+    }
+    int mixed = 0;
+    int total = 0;
+    for (const auto &[id, count] : answers) {
+        total += count;
+        mixed += prompts.count(id) != 0 && prompts[id] > 5 ? count : 0;
+    }
+    CHECK(total > 50);
+    CHECK(mixed <= total / 10);
+    CHECK(prompts.size() >= 4);
+}
+
+TEST_CASE("division follows prefill demand and streams in progress")
+{
+    const EngineCostModel engine;
+    WorkloadSplit split;
+    split.setOthers({1400, 40});
+    const auto calm = split.longAnswerEndpoints(9, engine, START);
+    split.setOthers({4200, 40});
+    const auto promptBurst = split.longAnswerEndpoints(9, engine, START);
+    split.setOthers({1400, 240});
+    const auto answerBurst = split.longAnswerEndpoints(9, engine, START);
+    CHECK(promptBurst <= calm);
+    CHECK(answerBurst > calm);
+    // Neither kind is ever left without an endpoint.
+    split.setOthers({1e9, 1});
+    CHECK(split.longAnswerEndpoints(9, engine, START) == 1);
+    split.setOthers({1, 1e9});
+    CHECK(split.longAnswerEndpoints(9, engine, START) == 8);
+    CHECK(split.longAnswerEndpoints(1, engine, START) == 1);
+}
+
+TEST_CASE("endpoints that fail or fell silent are left out while others remain")
+{
+    Fleet fleet(3);
+    PlacementChooser chooser(PlacementPolicy(), "domain-0");
+    fleet.standing("endpoint-0").noteResult(AttemptResult::Broken, START);
+    fleet.standing("endpoint-1").noteResult(AttemptResult::Silent, START);
+    for (int i = 0; i < 10; ++i) {
+        CHECK(chooser.choose(fleet.candidates(), nullptr, i / 10.0, START).endpoint->id == "endpoint-2");
+    }
+    fleet.standing("endpoint-2").noteResult(AttemptResult::NotConnected, START);
+    CHECK(chooser.choose(fleet.candidates(), nullptr, 0.5, START).endpoint != nullptr);
+    const TimePoint later = START + EndpointStanding::FIRST_SUSPICION;
+    CHECK_FALSE(fleet.standing("endpoint-0").isSuspect(later));
+}
+
+TEST_CASE("failure answers weigh against an endpoint only relative to its peers")
+{
+    Fleet fleet(2);
+    PlacementChooser chooser(PlacementPolicy(), "domain-0");
+    for (int i = 0; i < 6; ++i) {
+        fleet.standing("endpoint-0").noteResult(AttemptResult::FailureAnswer, START);
+        fleet.standing("endpoint-1").noteResult(AttemptResult::Answered, START);
+    }
+    CHECK(chooser.choose(fleet.candidates(), nullptr, 0, START).endpoint->id == "endpoint-1");
+    CHECK(fleet.standing("endpoint-0").failureShare(START) > 0.5);
+    CHECK(fleet.standing("endpoint-0").failureShare(START + milliseconds(20000)) < 0.1);
+}
--- /dev/null
+++ b/test/correctness/platform_codecs.cpp
@@ -0,0 +1,155 @@
+/** \file
+ * Contract tests of the adapter: the platform's fields and documents, well formed and not.
+ */
+#include "messageheaders.h"
+#include "storedocuments.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Cyclamenturn;
+
+namespace
+{
+
+const Platform::HeaderCodec HEADERS;
+const Platform::JsonStoreCodec STORE;
+
+const std::string ENTRY
+    = R"({"service":"s","addr":"10.0.0.9:80","zone":"z","slots":6,"state":"ready","sequence":4,"born":17})";
+
+StoreItem entry(std::string value)
+{
+    return {"servers/i-1", std::move(value), 3};
+}
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+}
+
+TEST_CASE("a prompt's fields become traits")
+{
+    HttpRequestHead head{"POST", "/a/", {}};
+    head.fields.add("X-Attempt-Id", "id-1");
+    head.fields.add("X-Token-Count", "1460,80");
+    head.fields.add("X-Prompt-Prefix", "5c:800, 91:410,e4:250");
+    head.fields.add("X-Length-Hint", "44");
+    head.fields.add("X-Deadline-Ms", "4000");
+    head.fields.add("Authorization", "Bearer key-1");
+    const RequestTraits traits = HEADERS.decodeRequest(head);
+    CHECK(traits.attemptId == "id-1");
+    CHECK(traits.patience == milliseconds(4000));
+    CHECK(traits.key == "key-1");
+    REQUIRE(traits.prompt);
+    CHECK(traits.prompt->promptTokens == 1460);
+    CHECK(traits.prompt->expectedOutputTokens == 44);
+    REQUIRE(traits.prompt->parts.size() == 3);
+    CHECK(traits.prompt->parts[1].id == "91");
+    CHECK(traits.prompt->parts[1].tokens == 410);
+}
+
+TEST_CASE("fields that only the system may set never come from a caller")
+{
+    HttpRequestHead head{"POST", "/a/", {}};
+    for (const char *name : {"X-Tenant", "X-Expect-Instance", "X-Request-Priority", "X-Hold", "X-Pin-Ms", "X-Kv-Backup",
+             "Kv-From", "Kv-Fetch", "X-Expect-Version", "x-tenant"}) {
+        head.fields.add(name, "forged");
+    }
+    head.fields.add("Authorization", "Bearer key-1");
+    head.fields.add("X-Model", "m");
+    ForwardTraits traits;
+    traits.endpointId = "i-1";
+    traits.timeLeft = milliseconds(321);
+    traits.team = "team";
+    traits.enginePriority = 4;
+    HttpFields expected;
+    expected.add("X-Model", "m");
+    expected.add("X-Deadline-Ms", "321");
+    expected.add("X-Expect-Instance", "i-1");
+    expected.add("X-Tenant", "team");
+    expected.add("X-Request-Priority", "4");
+    CHECK(HEADERS.encodeForward(head, traits, true) == expected);
+}
+
+TEST_CASE("an answer's fields tell what is proved")
+{
+    HttpResponseHead head{503, "", {}};
+    CHECK_FALSE(HEADERS.decodeAnswer(head).isNotRun);
+    head.fields.add("X-Not-Executed", "1");
+    head.fields.add("X-Server-Load", "3,2,8");
+    head.fields.add("Keep-Alive", "max=4, timeout=7");
+    const AnswerTraits traits = HEADERS.decodeAnswer(head);
+    CHECK(traits.isNotRun);
+    CHECK_FALSE(traits.isSealed);
+    REQUIRE(traits.load);
+    CHECK(traits.load->waiting == 2);
+    CHECK(traits.keepAlive == milliseconds(7000));
+    CHECK(HEADERS.decodeAnswer({421, "", {}}).isOtherInstance);
+}
+
+TEST_CASE("the id of an event is found wherever it stands")
+{
+    CHECK(HEADERS.eventId("id: 12\ndata: x\n\n") == "12");
+    CHECK(HEADERS.eventId("data: x\r\nid:13\r\n\r\n") == "13");
+    CHECK(HEADERS.eventId("data: id: 4\n\n").empty());
+}
+
+TEST_CASE("a registration is read, and one that can't be read names no endpoint")
+{
+    const EndpointRecord record = STORE.decodeEndpoint(entry(ENTRY));
+    CHECK(record.id == "i-1");
+    CHECK(record.address == Address{"10.0.0.9", 80});
+    CHECK(record.startedAtMs == 17);
+    CHECK_FALSE(record.isLeaving);
+    CHECK(STORE.decodeEndpoint(entry(replaced(ENTRY, "ready", "draining"))).isLeaving);
+    const std::string bad[] = {"", "[]", "nonsense", replaced(ENTRY, "\"slots\":6", "\"slots\":\"6\""),
+        replaced(ENTRY, "\"ready\"", "\"odd\""), replaced(ENTRY, "10.0.0.9:80", "10.0.0.9"),
+        replaced(ENTRY, "\"service\":\"s\",", ""), replaced(ENTRY, "\"slots\":6", "\"slots\":0"),
+        replaced(ENTRY, "\"sequence\":4", "\"sequence\":null"), replaced(ENTRY, "\"born\":17", "\"born\":\"17\"")};
+    for (const auto &value : bad) {
+        INFO(value);
+        CHECK_THROWS_AS(STORE.decodeEndpoint(entry(value)), MessageFormatError);
+    }
+    CHECK_THROWS_AS(STORE.decodeEndpoint({"servers/", ENTRY, 1}), MessageFormatError);
+}
+
+TEST_CASE("the operator's document becomes routes, services, teams and limits")
+{
+    const std::string document
+        = R"({"version":7,"routes":[{"name":"r","host":"H","prefix":"/a/","route_type":"streaming",
+        "timeout_ms":4000,"slo_ms":500,"priority":1,"backends":[{"service":"s","weight":90},{"service":"t","weight":0}],
+        "max_attempts":2,"sticky":true,"can_resume":true,"gap_target_ms":300}],
+        "services":[{"name":"s","health_path":"/h","max_connections":720,"engine":{"slots":64,"kv_capacity":5}}],
+        "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+        "tenants":[{"name":"team","api_keys":["k1","k2"],"priority":1}],"new_field":{"x":1}})";
+    const auto configuration = STORE.decodeConfiguration(document);
+    CHECK(configuration->version() == 7);
+    const Route *route = configuration->findRoute("h", "/a/b");
+    REQUIRE(route != nullptr);
+    CHECK(route->kind == RequestKind::Stream);
+    CHECK(route->isRepeatable());
+    CHECK(route->services == std::vector<WeightedService>{{"s", 90}});
+    CHECK(route->eventGap == milliseconds(300));
+    REQUIRE(configuration->findTeam("k2") != nullptr);
+    CHECK(configuration->findTeam("k2")->priority == 1);
+    CHECK(configuration->findService("s")->engine->slots == 64);
+    CHECK_THROWS_AS(STORE.decodeConfiguration("{\"version\":7}"), MessageFormatError);
+}
+
+TEST_CASE("store calls and answers")
+{
+    CHECK(STORE.listEndpointsCall("servers/a b").head.target == "/-/kv-range?prefix=servers%2F&after=servers%2Fa%20b");
+    const StorePage page = STORE.decodePage(
+        R"({"items":[{"key":"k","value":"bm9kZS0x","revision":4}],"more_pages":true,"current_rev":9})");
+    CHECK(page.hasMore);
+    CHECK(page.storeRevision == 9);
+    REQUIRE(page.items.size() == 1);
+    CHECK(page.items[0].value == "node-1");
+    const StorePage watch = STORE.decodeWatch(
+        R"({"events":[{"key":"k","value":"bm9kZS0x","revision":4},{"key":"l","revision":5,"removed":true}],"current_rev":5})");
+    CHECK(watch.items.size() == 1);
+    CHECK_THROWS_AS(STORE.decodePage("{}"), MessageFormatError);
+    CHECK(STORE.decodeLease("{\"lease\":5,\"ttl_ms\":30000}") == 5);
+}
--- /dev/null
+++ b/test/error/gateway_settings.cpp
@@ -0,0 +1,69 @@
+/** \file
+ * Mistakes in a gateway's settings are told with file, line, key and what is allowed.
+ */
+#include "errors.h"
+#include "gateway/gatewaysettings.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Cyclamenturn;
+
+namespace
+{
+
+const std::string GOOD = R"(name = "g"
+failure_domain = "d"
+callers = "10.0.0.1:80"
+readiness = "10.0.0.1:81"
+peers = "10.0.0.1:82"
+store = "10.0.0.2:90"
+stop_grace_s = 8
+
+[retries]
+ratio = 0.2
+window_s = 10
+fleet_slack = 108
+)";
+
+std::string messageFor(const std::string &text)
+{
+    try {
+        parseGatewaySettings(text, "gateway.toml");
+    } catch (const UserError &error) {
+        return error.what();
+    }
+    return "";
+}
+
+}
+
+TEST_CASE("good settings are read")
+{
+    const GatewaySettings settings = parseGatewaySettings(GOOD, "gateway.toml");
+    CHECK(settings.stopGrace == milliseconds(8000));
+    CHECK(settings.retries.fleetSlack == 108);
+    CHECK(settings.metrics == Address{"10.0.0.1", 9102});
+}
+
+TEST_CASE("bad settings name their place")
+{
+    struct Case
+    {
+        std::string text;
+        std::string word;
+    };
+    const Case cases[] = {
+        {GOOD + "odd = 1\n", "odd"},
+        {GOOD + "\n[placement]\nrule = \"best\"\n", "rule"},
+        {GOOD + "\n[placement]\nprefill_weight = -1\n", "prefill_weight"},
+        {GOOD + "\n[overload]\nlongest_wait_share = 2\n", "longest_wait_share"},
+        {"name = \"g\"\n", "failure_domain"},
+        {"name = ", "gateway.toml"},
+    };
+    for (const auto &item : cases) {
+        INFO(item.text);
+        const std::string message = messageFor(item.text);
+        CHECK(message.find("gateway.toml") != std::string::npos);
+        CHECK(message.find(item.word) != std::string::npos);
+    }
+}
--- /dev/null
+++ b/test/error/gatewayfleet.py
@@ -0,0 +1,227 @@
+"""One gateway with stand-ins of the platform's store and endpoints, as processes and threads on loopback.
+
+The stand-ins speak the platform's published protocol. Each endpoint runs a script that a test sets; each request that
+reaches it is recorded.
+"""
+import base64
+import http.client
+import json
+import os
+import signal
+import socket
+import socketserver
+import subprocess
+import tempfile
+import threading
+import time
+
+READY_LIMIT_S = 10
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Request:
+    def __init__(self, method, target, headers, body):
+        self.method, self.target, self.headers, self.body = method, target, headers, body
+
+
+def read_request(stream):
+    line = stream.readline().decode()
+    if not line.strip():
+        return None
+    method, target, _ = line.split()
+    headers = {}
+    while (line := stream.readline().decode().strip()):
+        name, value = line.split(":", 1)
+        headers[name.lower()] = value.strip()
+    return Request(method, target, headers, stream.read(int(headers.get("content-length", 0))))
+
+
+class Server:
+    """Accepts connections and calls `serve(connection, stream)` for each in a thread of its own."""
+
+    def __init__(self, serve):
+        class Handler(socketserver.StreamRequestHandler):
+            def handle(self):
+                try:
+                    serve(self.connection, self.rfile)
+                except (ConnectionError, ValueError, OSError):
+                    pass  # the gateway closed the connection
+
+        socketserver.ThreadingTCPServer.allow_reuse_address = True
+        self.server = socketserver.ThreadingTCPServer(("127.0.0.1", 0), Handler)
+        self.server.daemon_threads = True
+        self.port = self.server.server_address[1]
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def close(self):
+        self.server.shutdown()
+        self.server.server_close()
+
+
+class Store:
+    def __init__(self):
+        self.items, self.revision, self.down = {}, 0, False
+        self.changed = threading.Condition()
+        self.server = Server(self.serve)
+
+    def put(self, key, value):
+        with self.changed:
+            self.revision += 1
+            text = value if isinstance(value, str) else json.dumps(value)
+            self.items[key] = {"key": key, "value": base64.b64encode(text.encode()).decode(), "revision": self.revision,
+                               "create_rev": self.revision, "lease": 0}
+            self.changed.notify_all()
+
+    def remove(self, key):
+        with self.changed:
+            self.revision += 1
+            self.items.pop(key, None)
+            self.changed.notify_all()
+
+    def serve(self, connection, stream):
+        while (request := read_request(stream)):
+            if self.down:
+                return
+            status, body = self.answer(request)
+            text = json.dumps(body).encode()
+            connection.sendall(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(text)) + text)
+
+    def answer(self, request):
+        path, _, query = request.target.partition("?")
+        arguments = dict(part.split("=", 1) for part in query.split("&") if part)
+        for name in arguments:
+            arguments[name] = arguments[name].replace("%2F", "/")
+        with self.changed:
+            if path == "/-/kv-key":
+                item = self.items.get(arguments["key"])
+                return (200, {**item, "current_rev": self.revision}) if item else (404, {})
+            if path == "/-/kv-range":
+                found = [item for key, item in sorted(self.items.items()) if key.startswith(arguments["prefix"])]
+                return 200, {"items": found, "more_pages": False, "current_rev": self.revision}
+            if path == "/-/kv-watch":
+                return self.watch(arguments)
+        if path == "/-/kv-lease":
+            return 200, {"lease": 1, "ttl_ms": 30000}
+        if path == "/-/kv-txn":
+            for write in json.loads(request.body)["writes"]:
+                self.put(write["key"], base64.b64decode(write["value"]).decode())
+            return 200, {"revision": self.revision}
+        return 200, {"ttl_ms": 30000}
+
+    def watch(self, arguments):
+        end = time.monotonic() + int(arguments["wait_ms"]) / 1000
+        while True:
+            events = [item for key, item in self.items.items()
+                      if key.startswith(arguments["prefix"]) and item["revision"] > int(arguments["after"])]
+            left = end - time.monotonic()
+            if events or left <= 0:
+                return 200, {"events": events, "current_rev": self.revision}
+            self.changed.wait(left)
+
+
+def sealed(request, status=200, body=b"ok", extra=""):
+    head = f"HTTP/1.1 {status} X\r\nX-Attempt-Id: {request.headers['x-attempt-id']}\r\nX-Server-Seal: s\r\n{extra}"
+    return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+def stream_head(request):
+    return (f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {request.headers['x-attempt-id']}\r\nX-Server-Seal: s\r\n"
+            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").encode()
+
+
+def chunk(text):
+    return b"%x\r\n%s\r\n" % (len(text), text.encode())
+
+
+class Endpoint:
+    """`script(connection, request)` answers each request; returning False closes the connection."""
+
+    def __init__(self, script):
+        self.requests, self.script = [], script
+        self.server = Server(self.serve)
+
+    def serve(self, connection, stream):
+        while (request := read_request(stream)):
+            self.requests.append(request)
+            if self.script(connection, request) is False:
+                connection.shutdown(socket.SHUT_RDWR)
+                return
+
+    def entry(self, service="model", state="ready"):
+        return {"service": service, "addr": f"127.0.0.1:{self.server.port}", "zone": "z", "version": "v1", "slots": 4,
+                "state": state, "cold_left_ms": 0, "sequence": 1, "born": 1}
+
+
+def route(name, service, kind="idempotent", **more):
+    out = {"name": name, "host": "h.example", "prefix": f"/{name}/", "route_type": kind, "timeout_ms": 1500,
+           "slo_ms": 400, "priority": 1, "service": service, "max_attempts": 2, "public": False, "sticky": False,
+           "can_resume": False}
+    return {**out, **more}
+
+
+def configuration(version, routes, keys=("key-1",)):
+    services = sorted({item["service"] for item in routes})
+    return {"version": version, "routes": routes,
+            "services": [{"name": name, "health_path": "/h", "max_connections": 64} for name in services],
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000,
+                       "idle_timeout_ms": 15000},
+            "tenants": [{"name": "team-1", "api_keys": list(keys)}]}
+
+
+class Gateway:
+    def __init__(self, build, store, name="g1", grace_s=8):
+        self.callers, self.ready, self.metrics = free_port(), free_port(), free_port()
+        self.directory = tempfile.TemporaryDirectory()
+        self.settings = os.path.join(self.directory.name, "gateway.toml")
+        with open(self.settings, "w", encoding="utf-8") as out:
+            out.write(f'name = "{name}"\nfailure_domain = "z"\ncallers = "127.0.0.1:{self.callers}"\n'
+                      f'readiness = "127.0.0.1:{self.ready}"\nmetrics = "127.0.0.1:{self.metrics}"\n'
+                      f'peers = "127.0.0.1:{free_port()}"\nstore = "127.0.0.1:{store.server.port}"\n'
+                      f'stop_grace_s = {grace_s}\nlist_interval_ms = 100\n[retries]\nfleet_slack = 1000\n')
+        self.log = os.path.join(self.directory.name, "log")
+        with open(self.log, "wb") as log:
+            self.process = subprocess.Popen([os.path.join(build, "cyclamenturn-gatewayd"), "--config", self.settings],
+                                            stdout=log, stderr=log)
+
+    def call(self, method, target, body=None, timeout=6, port=None, **headers):
+        """Returns (status, body, headers); the body is None when the answer was cut."""
+        connection = http.client.HTTPConnection("127.0.0.1", port or self.callers, timeout=timeout)
+        fields = {"Host": "h.example", "X-Attempt-Id": os.urandom(8).hex(), "X-Deadline-Ms": "3000",
+                  "Authorization": "Bearer key-1"}
+        fields.update({name.replace("_", "-"): value for name, value in headers.items()})
+        connection.request(method, target, body, {name: value for name, value in fields.items() if value is not None})
+        answer = connection.getresponse()
+        try:
+            return answer.status, answer.read(), dict(answer.getheaders())
+        except (http.client.IncompleteRead, ConnectionError):
+            return answer.status, None, dict(answer.getheaders())
+        finally:
+            connection.close()
+
+    def is_ready(self):
+        try:
+            return self.call("GET", "/-/readyz", port=self.ready)[0] == 200
+        except OSError:
+            return False
+
+    def lines(self, event):
+        with open(self.log, encoding="utf-8") as log:
+            return [line for line in log if f"event={event}" in line.split()]
+
+    def stop(self):
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGKILL)
+        self.process.wait()
+        self.directory.cleanup()
+
+
+def eventually(condition, what, limit_s=READY_LIMIT_S):
+    end = time.monotonic() + limit_s
+    while not condition():
+        assert time.monotonic() < end, f"{what} didn't happen within {limit_s} s"
+        time.sleep(0.02)
--- a/tools/cyclamenturn-gatewayd.cpp
+++ b/tools/cyclamenturn-gatewayd.cpp
@@ -10,6 +10,7 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <fstream>
 #include <getopt.h>
 #include <iostream>
 #include <optional>
@@ -101,15 +102,49 @@
     return out;
 }
 
-void reloadSettings(const std::string &fileName, Gateway &gateway)
+/** Notices changes of the settings file, with or without a signal. */
+class SettingsWatch
 {
-    try {
-        gateway.reload(readGatewaySettings(fileName));
-        LogEvent("settings_reloaded");
-    } catch (const UserError &error) {
-        LogEvent("settings_refused", LogEvent::Level::Error).field("reason", error.what());
+public:
+    SettingsWatch(std::string fileName, TimePoint now)
+        : m_fileName(std::move(fileName))
+        , m_text(readText())
+        , m_checkedAt(now)
+    {
     }
-}
+
+    void check(Gateway &gateway, TimePoint now)
+    {
+        const bool asked = reloadRequested != 0;
+        if (!asked && now - m_checkedAt < SETTINGS_INTERVAL) {
+            return;
+        }
+        reloadRequested = 0;
+        m_checkedAt = now;
+        std::string text = readText();
+        if (!asked && text == m_text) {
+            return;
+        }
+        m_text = std::move(text);
+        try {
+            gateway.reload(parseGatewaySettings(m_text, m_fileName));
+            LogEvent("settings_reloaded").field("cause", asked ? "signal" : "file changed");
+        } catch (const UserError &error) {
+            LogEvent("settings_refused", LogEvent::Level::Error).field("reason", error.what());
+        }
+    }
+
+private:
+    std::string readText() const
+    {
+        std::ifstream in(m_fileName);
+        return std::string(std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>());
+    }
+
+    std::string m_fileName;
+    std::string m_text;
+    TimePoint m_checkedAt;
+};
 
 void run(const std::string &settingsFile, const GatewaySettings &settings)
 {
@@ -123,7 +158,7 @@
         .field("name", settings.name)
         .field("version", CYCLAMENTURN_VERSION)
         .field("callers", toString(settings.callers));
-    TimePoint lastReload = loop.now();
+    SettingsWatch watch(settingsFile, loop.now());
     bool stopping = false;
     while (!gateway.isStopped()) {
         loop.runOnce(LONGEST_TURN);
@@ -131,13 +166,7 @@
             stopping = true;
             gateway.beginStop();
         }
-        if (reloadRequested != 0 || loop.now() - lastReload >= SETTINGS_INTERVAL) {
-            if (reloadRequested != 0) {
-                reloadSettings(settingsFile, gateway);
-            }
-            reloadRequested = 0;
-            lastReload = loop.now();
-        }
+        watch.check(gateway, loop.now());
     }
     LogEvent("stopped").field("name", settings.name);
     stopLogging();
