Prompts leave their home only as a last resort; estimates of first events are corrected by what callers saw

Change: reading weighs 40 (was 12); EstimateCorrection learns the ratio of actual to estimated first events of long prompts over 1.5 s, and OverloadPolicy goes by the corrected estimate, for long prompts only.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "crashquarantine.h"
 #include "endpointdirectory.h"
 #include "endpointstanding.h"
+#include "estimatecorrection.h"
 #include "gatewaysettings.h"
 #include "messagecodec.h"
 #include "peerlink.h"
@@ -86,6 +87,10 @@
     {
         return m_quarantine;
     }
+    EstimateCorrection &estimates()
+    {
+        return m_estimates;
+    }
     Metrics &metrics()
     {
         return m_metrics;
@@ -133,6 +138,8 @@
     PlacementChooser m_placement;
     ConnectionPool m_pool;
     RetryWindow m_retries;
+    /** For long prompts only; other requests wait too little to tell. */
+    EstimateCorrection m_estimates;
     CrashQuarantine m_quarantine;
     Metrics m_metrics;
     std::mt19937_64 m_random;
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -75,17 +75,17 @@
     }
     switch (m_policy.rule) {
     case PlacementRule::RoundRobin:
-        return {candidates[m_turn++ % candidates.size()].record, 0, 0, 0, 0, false};
+        return {candidates[m_turn++ % candidates.size()].record, 0, 0, 0, 0, false, false};
     case PlacementRule::LeastInFlight: {
         const auto least = std::min_element(candidates.begin(), candidates.end(),
             [](const auto &a, const auto &b) { return a.standing->inFlight() < b.standing->inFlight(); });
-        return {least->record, 0, 0, 0, 0, false};
+        return {least->record, 0, 0, 0, 0, false, false};
     }
     case PlacementRule::PlainHash:
         if (const PromptPart *subject = subjectPart(prompt)) {
-            return {homeOf(candidates, {}, subject->id), 0, 0, 0, 0, false};
+            return {homeOf(candidates, {}, subject->id), 0, 0, 0, 0, false, false};
         }
-        return {candidates[m_turn++ % candidates.size()].record, 0, 0, 0, 0, false};
+        return {candidates[m_turn++ % candidates.size()].record, 0, 0, 0, 0, false, false};
     case PlacementRule::ExpectedTime:
         break;
     }
@@ -174,9 +174,10 @@
         }
         if (cost < best.cost) {
             best = {candidate.record, prefill, expectedMs(candidate, prompt != nullptr, prefill, now), cost,
-                m_split.longAnswerEndpoints(candidates.size(), m_policy.engine, now), candidate.record == home};
+                m_split.longAnswerEndpoints(candidates.size(), m_policy.engine, now), candidate.record == home, false};
         }
     }
+    best.isLongPrompt = prompt != nullptr && workloadOf(*prompt, m_policy.engine) == WorkloadKind::LongPrompt;
     return best;
 }
 
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -58,7 +58,7 @@
     /** Time that one certain failure is taken to cost, to weigh failing endpoints against busy ones. */
     double failureCostMs = 600;
     /** Weight of reading a prompt: it also holds up everybody else at the endpoint. */
-    double prefillWeight = 12;
+    double prefillWeight = 40;
     /** Weight of an endpoint's measured slowness, 0 to leave it out. */
     double slownessWeight = 0;
     /** Price of leaving the own failure domain; its links are slower and dearer. */
@@ -91,6 +91,8 @@
     std::size_t longAnswerEndpoints = 0;
     /** Whether the endpoint is the one to which the prompt's subject goes first. */
     bool isHome = false;
+    /** Whether the request's work is mostly reading. */
+    bool isLongPrompt = false;
 };
 
 class PlacementChooser
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -134,11 +134,12 @@
 
 bool RequestFlow::refusedForOverload(const Placement &placement)
 {
-    if (!m_traits.prompt || m_sends > 0) {
+    if (!m_traits.prompt || !placement.isLongPrompt || m_sends > 0) {
         return false;
     }
     OverloadInputs inputs;
-    inputs.expectedFirstEvent = Duration(static_cast<std::int64_t>(placement.expectedMs * 1000));
+    inputs.expectedFirstEvent = Duration(
+        static_cast<std::int64_t>(placement.expectedMs * m_gateway.estimates().factor(m_gateway.loop().now()) * 1000));
     inputs.objective = m_admitted.route->objective;
     inputs.timeLeft = timeLeft();
     inputs.usualPatience = m_admitted.route->timeout;
@@ -238,6 +239,9 @@
     if (m_placement.expectedMs > 0) {
         const double actualMs = static_cast<double>((now - m_sentAt).count()) / 1000.0;
         standing.noteSpeed(actualMs / m_placement.expectedMs * standing.slowness());
+        if (m_traits.prompt && m_placement.isLongPrompt) {
+            m_gateway.estimates().note(m_placement.expectedMs, actualMs, now);
+        }
     }
 }
 
@@ -516,6 +520,7 @@
             .field("events", m_eventsDelivered)
             .field("first_event_ms", toMilliseconds(m_firstEventAfter))
             .field("expected_ms", static_cast<long long>(m_placement.expectedMs))
+            .field("estimate_factor_pct", static_cast<long long>(100 * m_gateway.estimates().factor(now)))
             .field("prefill_tokens", m_placement.prefillTokens)
             .field("home", m_placement.isHome ? 1 : 0)
             .field("long_answer_endpoints", static_cast<long long>(m_placement.longAnswerEndpoints));
