Explaining a request: bounded log lines, histograms, cyclamenturnctl explain, operations page

Cause: a cut stream's line didn't say why; lines weren't bounded under load; metrics had quantiles of a window, not histograms; nothing led from a request's id to its cause.

Ruled out: glog and Boost.Accumulators here; glog blocks on a slow reader, and a window's quantiles can't be summed over gateways.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -194,6 +194,11 @@
     m_metrics.set("cyclamenturn_store_calls", {}, static_cast<double>(m_store.calls()));
     m_metrics.set("cyclamenturn_endpoint_connections_opened", {}, static_cast<double>(m_pool.opened()));
     m_metrics.set("cyclamenturn_caller_connections", {}, static_cast<double>(m_callers.connections()));
+    m_metrics.set("cyclamenturn_log_lines_dropped", {}, static_cast<double>(droppedLogLines()));
+    if (const std::size_t suppressed = m_logBudget.takeSuppressed()) {
+        m_metrics.count("cyclamenturn_log_lines_suppressed", {}, static_cast<double>(suppressed));
+        LogEvent("log_lines_suppressed").field("lines", static_cast<long long>(suppressed));
+    }
     m_loop.callAfter(HOUSEKEEPING_INTERVAL, [this] { housekeep(); });
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -17,6 +17,7 @@
 #include "stopplan.h"
 #include "storelink.h"
 
+#include "logbudget.h"
 #include "metrics.h"
 #include "transport/httpserver.h"
 
@@ -91,6 +92,10 @@
     {
         return m_estimates;
     }
+    LogBudget &logBudget()
+    {
+        return m_logBudget;
+    }
     Metrics &metrics()
     {
         return m_metrics;
@@ -141,6 +146,7 @@
     /** For long prompts only; other requests wait too little to tell. */
     EstimateCorrection m_estimates;
     CrashQuarantine m_quarantine;
+    LogBudget m_logBudget;
     Metrics m_metrics;
     std::mt19937_64 m_random;
     std::unordered_map<RequestFlow *, std::shared_ptr<RequestFlow>> m_flows;
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -446,6 +446,7 @@
     if (m_headDelivered) {
         m_caller->setLeftHandler(nullptr);
         m_caller->abort();
+        m_cutReason = toString(reason);
         finish(0, "stream_cut");
         return;
     }
@@ -493,23 +494,15 @@
     finish(status, outcome);
 }
 
-void RequestFlow::finish(int status, const char *outcome)
+void RequestFlow::logOutcome(int status, const char *outcome, Duration took) const
 {
-    if (m_finished) {
-        return;
-    }
-    m_finished = true;
-    m_gateway.loop().cancel(m_deadlineTimer);
-    if (m_demandNoted) {
-        m_gateway.placement().noteEnded(*m_traits.prompt);
-    }
     const TimePoint now = m_gateway.loop().now();
-    const Duration took = now - m_request.arrivedAt;
     const Route *route = m_admitted.route;
     LogEvent event("request_finished");
     event.field("request", m_traits.attemptId)
         .field("outcome", outcome)
         .field("status", status)
+        .field("reason", m_cutReason)
         .field("took_ms", toMilliseconds(took));
     if (route != nullptr) {
         event.field("route", route->name)
@@ -524,8 +517,6 @@
             .field("prefill_tokens", m_placement.prefillTokens)
             .field("home", m_placement.isHome ? 1 : 0)
             .field("long_answer_endpoints", static_cast<long long>(m_placement.longAnswerEndpoints));
-        m_gateway.metrics().observe(
-            "cyclamenturn_request_seconds", {{"route", route->name}, {"outcome", outcome}}, took);
     }
     if (m_configuration) {
         event.field("configuration", static_cast<long long>(m_configuration->version()));
@@ -534,6 +525,29 @@
     if (m_gateway.endpoints().readAt()) {
         event.field("endpoints_age_ms", toMilliseconds(now - *m_gateway.endpoints().readAt()));
     }
+}
+
+void RequestFlow::finish(int status, const char *outcome)
+{
+    if (m_finished) {
+        return;
+    }
+    m_finished = true;
+    m_gateway.loop().cancel(m_deadlineTimer);
+    if (m_demandNoted) {
+        m_gateway.placement().noteEnded(*m_traits.prompt);
+    }
+    const TimePoint now = m_gateway.loop().now();
+    const Duration took = now - m_request.arrivedAt;
+    const Route *route = m_admitted.route;
+    if (route != nullptr) {
+        m_gateway.metrics().observe(
+            "cyclamenturn_request_seconds", {{"route", route->name}, {"outcome", outcome}}, took);
+    }
+    const bool isFailure = status < 200 || status >= FIRST_CLIENT_ERROR;
+    if (m_gateway.logBudget().allows(isFailure, now)) {
+        logOutcome(status, outcome, took);
+    }
     m_gateway.remove(this);
 }
 
--- a/src/gateway/requestflow.h
+++ b/src/gateway/requestflow.h
@@ -62,6 +62,7 @@
     void refuse(GatewayRefusal refusal, Duration retryAfter);
     void answer(HttpResponseHead head, const std::string &body, const char *outcome);
     void finish(int status, const char *outcome);
+    void logOutcome(int status, const char *outcome, Duration took) const;
     Duration timeLeft() const;
     /** How long the request may keep this process busy. */
     Duration longestDuration() const;
@@ -102,6 +103,8 @@
     /** Time from the request's arrival to its first event; 0 while there is none. */
     Duration m_firstEventAfter{};
     bool m_headDelivered = false;
+    /** Why a stream was cut after events had been delivered. */
+    const char *m_cutReason = "none";
     /** Whether the request counts in the demand of its workload. */
     bool m_demandNoted = false;
     bool m_finished = false;
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -1,9 +1,13 @@
 /** \file
- * Metrics in the Prometheus text form.
+ * Metrics over prometheus-cpp.
  */
 #include "metrics.h"
 
-#include <sstream>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
 
 namespace Cyclamenturn
 {
@@ -13,97 +17,57 @@
 
 constexpr double MICROSECONDS_PER_SECOND = 1e6;
 
-std::string escaped(const std::string &value)
-{
-    std::string out;
-    for (const char c : value) {
-        if (c == '\\' || c == '"') {
-            out += '\\';
-        }
-        out += c == '\n' ? ' ' : c;
-    }
-    return out;
-}
+/** Bounds in seconds, dense where the objectives of the first deployments lie. */
+const prometheus::Histogram::BucketBoundaries LATENCY_BOUNDS{
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10, 30};
 
-std::string seriesName(const std::string &name, const std::string &labels, const std::string &extra = "")
+std::map<std::string, std::string> toMap(const MetricLabels &labels)
 {
-    std::string inner = labels;
-    if (!extra.empty()) {
-        inner += (inner.empty() ? "" : ",") + extra;
-    }
-    return inner.empty() ? name : name + "{" + inner + "}";
+    return std::map<std::string, std::string>(labels.begin(), labels.end());
 }
 
 }
 
-std::string Metrics::labelText(const MetricLabels &labels)
+Metrics::Metrics()
+    : m_registry(std::make_unique<prometheus::Registry>())
 {
-    std::string out;
-    for (const auto &[name, value] : labels) {
-        out += (out.empty() ? "" : ",") + name + "=\"" + escaped(value) + "\"";
-    }
-    return out;
 }
 
+Metrics::~Metrics() = default;
+
 void Metrics::count(const std::string &name, const MetricLabels &labels, double by)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    m_counters[name][labelText(labels)] += by;
+    prometheus::Counter *&counter = m_counters[{name, labels}];
+    if (counter == nullptr) {
+        counter = &prometheus::BuildCounter().Name(name).Register(*m_registry).Add(toMap(labels));
+    }
+    counter->Increment(by);
 }
 
 void Metrics::set(const std::string &name, const MetricLabels &labels, double value)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    m_gauges[name][labelText(labels)] = value;
+    prometheus::Gauge *&gauge = m_gauges[{name, labels}];
+    if (gauge == nullptr) {
+        gauge = &prometheus::BuildGauge().Name(name).Register(*m_registry).Add(toMap(labels));
+    }
+    gauge->Set(value);
 }
 
 void Metrics::observe(const std::string &name, const MetricLabels &labels, Duration value)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    Summary &summary = m_summaries[name][labelText(labels)];
-    summary.estimate.add(value);
-    summary.sumSeconds += static_cast<double>(value.count()) / MICROSECONDS_PER_SECOND;
-    ++summary.count;
-}
-
-std::string Metrics::render() const
-{
-    const std::lock_guard<std::mutex> lock(m_mutex);
-    std::ostringstream out;
-    const auto renderFamily = [&out](const std::string &name, const char *type, const Series &series) {
-        out << "# TYPE " << name << ' ' << type << '\n';
-        for (const auto &[labels, value] : series) {
-            out << seriesName(name, labels) << ' ' << value << '\n';
-        }
-    };
-    for (const auto &[name, series] : m_counters) {
-        renderFamily(name, "counter", series);
+    prometheus::Histogram *&histogram = m_histograms[{name, labels}];
+    if (histogram == nullptr) {
+        histogram = &prometheus::BuildHistogram().Name(name).Register(*m_registry).Add(toMap(labels), LATENCY_BOUNDS);
     }
-    for (const auto &[name, series] : m_gauges) {
-        renderFamily(name, "gauge", series);
-    }
-    for (const auto &[name, family] : m_summaries) {
-        out << "# TYPE " << name << " summary\n";
-        for (const auto &[labels, summary] : family) {
-            renderSummary(out, name, labels, summary);
-        }
-    }
-    return out.str();
+    histogram->Observe(static_cast<double>(value.count()) / MICROSECONDS_PER_SECOND);
 }
 
-void Metrics::renderSummary(
-    std::ostream &out, const std::string &name, const std::string &labels, const Summary &summary)
+std::string Metrics::render() const
 {
-    const std::pair<const char *, std::optional<Duration>> quantiles[]
-        = {{"quantile=\"0.5\"", summary.estimate.median()}, {"quantile=\"0.9\"", summary.estimate.ninetieth()}};
-    for (const auto &[label, value] : quantiles) {
-        if (value) {
-            out << seriesName(name, labels, label) << ' '
-                << static_cast<double>(value->count()) / MICROSECONDS_PER_SECOND << '\n';
-        }
-    }
-    out << seriesName(name + "_sum", labels) << ' ' << summary.sumSeconds << '\n';
-    out << seriesName(name + "_count", labels) << ' ' << summary.count << '\n';
+    return prometheus::TextSerializer().Serialize(m_registry->Collect());
 }
 
 }
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -1,18 +1,26 @@
 /** \file
- * Counters and latency summaries, written in the Prometheus text form.
+ * Counters, gauges and latency histograms, written in the Prometheus text form by prometheus-cpp.
  */
 #pragma once
 
-#include "latencyestimate.h"
 #include "service.h"
+#include "timepoint.h"
 
 #include <map>
+#include <memory>
 #include <mutex>
-#include <ostream>
 #include <string>
 #include <utility>
 #include <vector>
 
+namespace prometheus
+{
+class Counter;
+class Gauge;
+class Histogram;
+class Registry;
+}
+
 namespace Cyclamenturn
 {
 
@@ -22,6 +30,9 @@
 class Metrics : public Service
 {
 public:
+    Metrics();
+    ~Metrics() override;
+
     void start() override
     {
     }
@@ -37,22 +48,14 @@
     std::string render() const;
 
 private:
-    struct Summary
-    {
-        LatencyEstimate estimate;
-        double sumSeconds = 0;
-        std::uint64_t count = 0;
-    };
-    using Series = std::map<std::string, double>;
-
-    static std::string labelText(const MetricLabels &labels);
-    static void renderSummary(
-        std::ostream &out, const std::string &name, const std::string &labels, const Summary &summary);
-
-    mutable std::mutex m_mutex;
-    std::map<std::string, Series> m_counters;
-    std::map<std::string, Series> m_gauges;
-    std::map<std::string, std::map<std::string, Summary>> m_summaries;
+    using Key = std::pair<std::string, MetricLabels>;
+
+    std::mutex m_mutex;
+    std::unique_ptr<prometheus::Registry> m_registry;
+    /** Series that were used before, so that a look-up is enough for the next use. */
+    std::map<Key, prometheus::Counter *> m_counters;
+    std::map<Key, prometheus::Gauge *> m_gauges;
+    std::map<Key, prometheus::Histogram *> m_histograms;
 };
 
 }
--- a/test/correctness/gateway_decisions.cpp
+++ b/test/correctness/gateway_decisions.cpp
@@ -2,11 +2,13 @@
  * Decisions about one request: admission, resends and their allowance, refusals under overload, planned stops.
  */
 #include "gateway/admitrequest.h"
+#include "gateway/estimatecorrection.h"
 #include "gateway/eventsplitter.h"
 #include "gateway/overloadpolicy.h"
 #include "gateway/resendpolicy.h"
 #include "gateway/retrywindow.h"
 #include "gateway/stopplan.h"
+#include "logbudget.h"
 
 #include <catch2/catch.hpp>
 
@@ -201,3 +203,27 @@
         == std::vector<std::string>{"id: 1\ndata: x\n\n", "id: 2\r\n\r\n"});
     CHECK(splitter.rest() == "id: 3\n");
 }
+
+TEST_CASE("estimates follow what callers saw and recover")
+{
+    EstimateCorrection correction;
+    CHECK(correction.factor(START) == Approx(1));
+    for (int i = 0; i < 20; ++i) {
+        correction.note(300, 900, START);
+    }
+    CHECK(correction.factor(START) > 2.5);
+    CHECK(correction.factor(START + milliseconds(15000)) == Approx(1).margin(0.1));
+}
+
+TEST_CASE("routine lines are bounded and leave room for failures")
+{
+    LogBudget budget;
+    std::size_t written = 0;
+    for (int i = 0; i < 5000; ++i) {
+        written += budget.allows(false, START) ? 1 : 0;
+    }
+    CHECK(written == LogBudget::ROUTINE_LINES);
+    CHECK(budget.allows(true, START));
+    CHECK(budget.takeSuppressed() == 5000 - LogBudget::ROUTINE_LINES);
+    CHECK(budget.allows(false, START + milliseconds(1000)));
+}
--- a/test/error/processes_gateway.py
+++ b/test/error/processes_gateway.py
@@ -1,7 +1,9 @@
 #!/usr/bin/env python3
 """The gateway as a process against stand-ins of the platform: the whole path and the faults that it must survive."""
+import os
 import signal
 import socket
+import subprocess
 import sys
 import threading
 import time
@@ -273,8 +275,15 @@
         assert fleet.gateway.call("GET", "/plain/x", X_Attempt_Id="abc", Authorization="Bearer none")[0] == 401
         eventually(lambda: [line for line in fleet.gateway.lines("request_finished") if "request=abc" in line
                             and "outcome=unknown_key" in line and "configuration=3" in line], "the line")
+        with open(fleet.gateway.log, "rb") as log:
+            tool = subprocess.run([os.path.join(BUILD, "cyclamenturnctl"), "explain", "abc"], stdin=log,
+                                  capture_output=True, check=True)
+        assert b"configuration_in_force" in tool.stdout and b"unknown_key" in tool.stdout
         page = fleet.gateway.call("GET", "/metrics", port=fleet.gateway.metrics)[1].decode()
         assert 'cyclamenturn_refusals{reason="unknown_key"} 1' in page
+        fleet.gateway.call("GET", "/plain/x")
+        page = fleet.gateway.call("GET", "/metrics", port=fleet.gateway.metrics)[1].decode()
+        assert "cyclamenturn_request_seconds_bucket" in page
         assert "key-1" not in open(fleet.gateway.log, encoding="utf-8").read()
 
 
--- a/tools/cyclamenturnctl.cpp
+++ b/tools/cyclamenturnctl.cpp
@@ -4,6 +4,7 @@
 #include "checkedtable.h"
 #include "clock.h"
 #include "errors.h"
+#include "explainrequest.h"
 #include "fleetadmin.h"
 #include "fleetconfiguration.h"
 #include "jsoncodec.h"
@@ -44,6 +45,7 @@
     cyclamenturnctl [OPTIONS] config history
     cyclamenturnctl [OPTIONS] status
     cyclamenturnctl [OPTIONS] drain ENDPOINT --reason TEXT [--wait]
+    cyclamenturnctl explain REQUEST < LOG
 
 DESCRIPTION
     config show      prints the configuration in the store; its first line names the revision
@@ -54,6 +56,7 @@
     config history   lists the accepted edits
     status           shows every process with the revision in force there
     drain            accepts an exception that takes all new work away from ENDPOINT
+    explain          prints the lines of a gateway's log that explain one request; docs/OPERATIONS.md reads them
 
 OPTIONS
     -c, --config FILE      the tool's settings: store, fleet_key_file, entries (cyclamenturnctl.toml)
@@ -435,6 +438,20 @@
     return EXIT_OK;
 }
 
+int explain(const std::string &requestId)
+{
+    const auto lines = explainRequest(std::cin, requestId);
+    if (lines.empty()) {
+        std::cerr << "cyclamenturnctl: the log has no line of request " << requestId
+                  << "; each attempt of a caller has an id of its own, and each gateway a log of its own\n";
+        return EXIT_FAILED;
+    }
+    for (const auto &text : lines) {
+        std::cout << text << "\n";
+    }
+    return EXIT_OK;
+}
+
 int run(const CommandLine &line)
 {
     const auto &words = line.words;
@@ -443,6 +460,9 @@
     if (command == "status" && words.size() == 1) {
         return showStatus(line);
     }
+    if (command == "explain" && words.size() == 2) {
+        return explain(sub);
+    }
     if (command == "drain" && words.size() == 2) {
         return drainEndpoint(line, sub);
     }
