--- a/test/fuzz/parsers.cpp
+++ b/test/fuzz/parsers.cpp
@@ -1,13 +1,19 @@
 /** \file
  * Fuzz target of every parser of ours that meets outside bytes. The first byte of an input chooses the parser. A parser
- * may refuse with UserError; anything else that escapes, and any finding of a sanitizer, is a fault.
+ * may refuse with UserError, MessageFormatError or HttpSyntaxError; anything else that escapes, and any finding of a
+ * sanitizer, is a fault.
  */
 #include "admission.h"
 #include "configurationkeeper.h"
 #include "errors.h"
 #include "fixtures.h"
+#include "gateway/gatewaysettings.h"
+#include "gateway/peerdigest.h"
+#include "messageheaders.h"
 #include "runjournal.h"
 #include "settings.h"
+#include "storedocuments.h"
+#include "transport/httpparser.h"
 #include "wire.h"
 
 #include <cstddef>
@@ -18,7 +24,7 @@
 namespace
 {
 
-constexpr int PARSERS = 8;
+constexpr int PARSERS = 14;
 
 void admit(const std::string &text)
 {
@@ -34,6 +40,29 @@
     admitCall(*configuration, request, at(0));
 }
 
+const Platform::JsonStoreCodec STORE;
+
+/** The first half as a request, the rest as an answer; heads that parse go through the adapter. */
+void parseMessages(const std::string &text)
+{
+    const Platform::HeaderCodec codec;
+    std::string first = text.substr(0, text.size() / 2);
+    std::string second = text.substr(text.size() / 2);
+    HttpParser request = HttpParser::forRequest(HttpLimits());
+    request.consume(first);
+    if (request.isHeadDone()) {
+        codec.encodeForward(request.request(), ForwardTraits(), true);
+        codec.decodeRequest(request.request());
+    }
+    HttpParser response = HttpParser::forResponse(HttpLimits(), false);
+    response.consume(second);
+    if (response.isHeadDone()) {
+        codec.decodeAnswer(response.response());
+    }
+    response.finishAtEnd();
+    codec.eventId(second);
+}
+
 void parse(int parser, const std::string &text)
 {
     switch (parser) {
@@ -58,6 +87,24 @@
     case 6:
         decodeSegment(text);
         break;
+    case 7:
+        parseGatewaySettings(text, "gateway");
+        break;
+    case 8:
+        decodeDigest(text, at(0));
+        break;
+    case 9:
+        STORE.decodeConfiguration(text);
+        break;
+    case 10:
+        STORE.decodeEndpoint({"servers/e", text, 1});
+        break;
+    case 11:
+        STORE.decodePage(text);
+        break;
+    case 12:
+        parseMessages(text);
+        break;
     default:
         admit(text);
         break;
@@ -75,6 +122,10 @@
         parse(data[0] % PARSERS, std::string(reinterpret_cast<const char *>(data) + 1, size - 1));
     } catch (const UserError &) {
         return 0;
+    } catch (const MessageFormatError &) {
+        return 0;
+    } catch (const HttpSyntaxError &) {
+        return 0;
     }
     return 0;
 }
