Clear unused members of the transport, satisfy cppcheck

Cause: left from the first draft; cppcheck took a re-check after a listener's call for a redundant one. No change of behaviour; unit tests and processes_gateway pass.

--- a/src/transport/httpclientconnection.cpp
+++ b/src/transport/httpclientconnection.cpp
@@ -44,7 +44,6 @@
     m_parser.emplace(HttpParser::forResponse(m_limits, m_toHead));
     m_headHandled = false;
     m_foreign = false;
-    ++m_exchanges;
     if (m_connection.isConnected()) {
         m_connection.write(bytes);
     } else {
@@ -77,7 +76,9 @@
 
 bool HttpClientConnection::advance()
 {
-    const auto alive = m_alive;
+    const auto isOver = [this, alive = m_alive] {
+        return !*alive || m_listener == nullptr;
+    };
     try {
         m_parser->consume(m_connection.input());
     } catch (const HttpSyntaxError &) {
@@ -93,7 +94,7 @@
         m_foreign = head.status >= FIRST_FINAL_STATUS && !m_listener->isOwnAnswer(head);
         if (!skipForeignAnswer()) {
             m_listener->headReceived(head);
-            if (!*alive || m_listener == nullptr) {
+            if (isOver()) {
                 return false;
             }
         }
@@ -110,7 +111,7 @@
     }
     if (!piece.empty()) {
         m_listener->bodyReceived(std::move(piece));
-        if (!*alive || m_listener == nullptr) {
+        if (isOver()) {
             return false;
         }
     }
--- a/src/transport/httpclientconnection.h
+++ b/src/transport/httpclientconnection.h
@@ -53,11 +53,6 @@
     {
         return m_connection.isConnected();
     }
-    /** Whether a request was sent on this connection before the one in progress. */
-    bool isReused() const
-    {
-        return m_exchanges > 1;
-    }
 
 private:
     void connected() override;
@@ -79,7 +74,6 @@
     bool m_headHandled = false;
     bool m_foreign = false;
     bool m_spent = false;
-    int m_exchanges = 0;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/src/transport/httpserverconnection.cpp
+++ b/src/transport/httpserverconnection.cpp
@@ -5,8 +5,6 @@
 
 #include "httpserver.h"
 
-#include <Poco/Exception.h>
-
 namespace Cyclamenturn
 {
 
@@ -20,22 +18,12 @@
 /** A caller that reads nothing while this much waits for it is cut off. */
 constexpr std::size_t OUTPUT_LIMIT = 4194304;
 
-std::string peerName(const Poco::Net::StreamSocket &socket)
-{
-    try {
-        return socket.peerAddress().toString();
-    } catch (const Poco::Exception &) {
-        return "unknown";
-    }
-}
-
 }
 
 HttpServerConnection::HttpServerConnection(HttpServer &server, EventLoop &loop, const Poco::Net::StreamSocket &socket)
     : m_server(server)
     , m_loop(loop)
     , m_connection(loop, socket, this)
-    , m_peer(peerName(socket))
 {
     restartTimer(m_server.limits().idleTimeout);
 }
--- a/src/transport/httpserverconnection.h
+++ b/src/transport/httpserverconnection.h
@@ -49,10 +49,6 @@
     }
     /** Whether no byte of a request has come since the last answer, which is sent. */
     bool isIdle();
-    std::string peer() const
-    {
-        return m_peer;
-    }
 
 private:
     friend class HttpServer;
@@ -74,7 +70,6 @@
     HttpServer &m_server;
     EventLoop &m_loop;
     TcpConnection m_connection;
-    std::string m_peer;
     std::optional<HttpParser> m_parser;
     std::function<void()> m_leftHandler;
     EventLoop::Timer m_timer;
@@ -86,8 +81,6 @@
     bool m_closeAfterAnswer = false;
     bool m_closeWhenDrained = false;
     bool m_toHead = false;
-    bool m_oldVersion = false;
-    bool m_chunked = false;
 };
 
 using HttpServerConnectionPtr = std::shared_ptr<HttpServerConnection>;
--- a/src/transport/tcpconnection.h
+++ b/src/transport/tcpconnection.h
@@ -50,10 +50,6 @@
     TcpConnection(const TcpConnection &) = delete;
     TcpConnection &operator=(const TcpConnection &) = delete;
 
-    void setListener(ConnectionListener *listener)
-    {
-        m_listener = listener;
-    }
     /** Received bytes; the owner erases what it has used. */
     std::string &input()
     {
