EndpointResult: a name of its own for how an attempt speaks of its endpoint

Ruled out: the compiler (g++ only didn't see both in one file).

Change: the gateway's is EndpointResult. fuzz_parsers builds. No change of behaviour.

--- a/src/gateway/endpointstanding.cpp
+++ b/src/gateway/endpointstanding.cpp
@@ -85,24 +85,24 @@
     m_suspicion = std::min(m_suspicion * 2, LONGEST_SUSPICION);
 }
 
-void EndpointStanding::noteResult(AttemptResult result, TimePoint now)
+void EndpointStanding::noteResult(EndpointResult result, TimePoint now)
 {
     fade(now);
     switch (result) {
-    case AttemptResult::Answered:
+    case EndpointResult::Answered:
         m_attempts += 1;
         m_suspicion = FIRST_SUSPICION;
         m_suspectUntil = std::min(m_suspectUntil, now);
         break;
-    case AttemptResult::FailureAnswer:
+    case EndpointResult::FailureAnswer:
         m_attempts += 1;
         m_failures += 1;
         break;
-    case AttemptResult::Full:
+    case EndpointResult::Full:
         break;
-    case AttemptResult::NotConnected:
-    case AttemptResult::Broken:
-    case AttemptResult::Silent:
+    case EndpointResult::NotConnected:
+    case EndpointResult::Broken:
+    case EndpointResult::Silent:
         m_attempts += 1;
         m_failures += 1;
         suspect(now);
--- a/src/gateway/endpointstanding.h
+++ b/src/gateway/endpointstanding.h
@@ -16,7 +16,7 @@
 {
 
 /** What an attempt at an endpoint came to, as far as it says something about the endpoint. */
-enum class AttemptResult {
+enum class EndpointResult {
     Answered,
     /** The endpoint's own failure answer. */
     FailureAnswer,
@@ -44,7 +44,7 @@
     void noteFirstEvent(std::int64_t prefillTokens);
     void noteEnded();
     void noteLoad(const EndpointLoad &load, TimePoint now);
-    void noteResult(AttemptResult result, TimePoint now);
+    void noteResult(EndpointResult result, TimePoint now);
     /** How long an answer, or a stream's first event, took against the estimate. */
     void noteSpeed(double actualOverExpected);
 
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -217,7 +217,7 @@
     if (!m_connection || !mayResend(AttemptEnd::Lost)) {
         return;
     }
-    m_gateway.standing(m_endpoint.id).noteResult(AttemptResult::Silent, m_gateway.loop().now());
+    m_gateway.standing(m_endpoint.id).noteResult(EndpointResult::Silent, m_gateway.loop().now());
     m_gateway.metrics().count("cyclamenturn_resends", {{"reason", "silent"}});
     endAttempt(false);
     m_mayHaveRun = true;
@@ -256,7 +256,7 @@
     const std::string *type = head.fields.find("Content-Type");
     m_isEventStream = isSuccess(head.status) && type != nullptr && type->rfind("text/event-stream", 0) == 0;
     if (isSuccess(head.status) && !m_answerTraits.isSealed) {
-        attemptFailed(AttemptEnd::Lost, AttemptResult::FailureAnswer, GatewayRefusal::EndpointMalformed);
+        attemptFailed(AttemptEnd::Lost, EndpointResult::FailureAnswer, GatewayRefusal::EndpointMalformed);
     }
 }
 
@@ -310,19 +310,19 @@
     }
     if (m_answerTraits.isOtherInstance) {
         endAttempt(isReusable);
-        attemptFailed(AttemptEnd::OtherInstance, AttemptResult::Full, GatewayRefusal::NotReached);
+        attemptFailed(AttemptEnd::OtherInstance, EndpointResult::Full, GatewayRefusal::NotReached);
         return;
     }
     if (m_answerTraits.isNotRun) {
         endAttempt(isReusable);
-        attemptFailed(AttemptEnd::NotRun, AttemptResult::Full, GatewayRefusal::AllFull);
+        attemptFailed(AttemptEnd::NotRun, EndpointResult::Full, GatewayRefusal::AllFull);
         return;
     }
     if (m_isEventStream) {
-        standing.noteResult(AttemptResult::Answered, now);
+        standing.noteResult(EndpointResult::Answered, now);
         m_gateway.quarantine().noteFinished(m_fingerprint);
         if (!m_splitter.rest().empty()) {
-            attemptFailed(AttemptEnd::Lost, AttemptResult::FailureAnswer, GatewayRefusal::EndpointMalformed);
+            attemptFailed(AttemptEnd::Lost, EndpointResult::FailureAnswer, GatewayRefusal::EndpointMalformed);
             return;
         }
         endAttempt(isReusable);
@@ -348,7 +348,7 @@
     const TimePoint now = m_gateway.loop().now();
     EndpointStanding &standing = m_gateway.standing(m_endpoint.id);
     const bool isFailure = m_answerHead.status >= FIRST_SERVER_ERROR;
-    standing.noteResult(isFailure ? AttemptResult::FailureAnswer : AttemptResult::Answered, now);
+    standing.noteResult(isFailure ? EndpointResult::FailureAnswer : EndpointResult::Answered, now);
     if (isFailure && mayResend(AttemptEnd::FailureAnswer)) {
         m_gateway.metrics().count("cyclamenturn_resends", {{"reason", "failure_answer"}});
         m_mayHaveRun = true;
@@ -370,14 +370,14 @@
 {
     switch (failure) {
     case ExchangeFailure::NotConnected:
-        attemptFailed(AttemptEnd::NotSent, AttemptResult::NotConnected, GatewayRefusal::NotReached);
+        attemptFailed(AttemptEnd::NotSent, EndpointResult::NotConnected, GatewayRefusal::NotReached);
         break;
     case ExchangeFailure::Broken:
         m_gateway.quarantine().noteCrash(m_fingerprint, m_endpoint.id, m_gateway.loop().now());
-        attemptFailed(AttemptEnd::Lost, AttemptResult::Broken, GatewayRefusal::EndpointLost);
+        attemptFailed(AttemptEnd::Lost, EndpointResult::Broken, GatewayRefusal::EndpointLost);
         break;
     case ExchangeFailure::Malformed:
-        attemptFailed(AttemptEnd::Lost, AttemptResult::FailureAnswer, GatewayRefusal::EndpointMalformed);
+        attemptFailed(AttemptEnd::Lost, EndpointResult::FailureAnswer, GatewayRefusal::EndpointMalformed);
         break;
     }
 }
@@ -418,7 +418,7 @@
     return allowed;
 }
 
-void RequestFlow::attemptFailed(AttemptEnd end, AttemptResult result, GatewayRefusal reason)
+void RequestFlow::attemptFailed(AttemptEnd end, EndpointResult result, GatewayRefusal reason)
 {
     const TimePoint now = m_gateway.loop().now();
     LogEvent("attempt_failed")
--- a/src/gateway/requestflow.h
+++ b/src/gateway/requestflow.h
@@ -54,7 +54,7 @@
     /** Closes the attempt's connection or keeps it for others. */
     void endAttempt(bool isReusable);
     /** The attempt came to nothing: sends again or ends the request. */
-    void attemptFailed(AttemptEnd end, AttemptResult result, GatewayRefusal reason);
+    void attemptFailed(AttemptEnd end, EndpointResult result, GatewayRefusal reason);
     bool mayResend(AttemptEnd end);
     void giveUp(AttemptEnd end, GatewayRefusal reason);
 
--- a/test/correctness/placement.cpp
+++ b/test/correctness/placement.cpp
@@ -158,12 +158,12 @@
 {
     Fleet fleet(3);
     PlacementChooser chooser(PlacementPolicy(), "domain-0");
-    fleet.standing("endpoint-0").noteResult(AttemptResult::Broken, START);
-    fleet.standing("endpoint-1").noteResult(AttemptResult::Silent, START);
+    fleet.standing("endpoint-0").noteResult(EndpointResult::Broken, START);
+    fleet.standing("endpoint-1").noteResult(EndpointResult::Silent, START);
     for (int i = 0; i < 10; ++i) {
         CHECK(chooser.choose(fleet.candidates(), nullptr, i / 10.0, START).endpoint->id == "endpoint-2");
     }
-    fleet.standing("endpoint-2").noteResult(AttemptResult::NotConnected, START);
+    fleet.standing("endpoint-2").noteResult(EndpointResult::NotConnected, START);
     CHECK(chooser.choose(fleet.candidates(), nullptr, 0.5, START).endpoint != nullptr);
     const TimePoint later = START + EndpointStanding::FIRST_SUSPICION;
     CHECK_FALSE(fleet.standing("endpoint-0").isSuspect(later));
@@ -174,8 +174,8 @@
     Fleet fleet(2);
     PlacementChooser chooser(PlacementPolicy(), "domain-0");
     for (int i = 0; i < 6; ++i) {
-        fleet.standing("endpoint-0").noteResult(AttemptResult::FailureAnswer, START);
-        fleet.standing("endpoint-1").noteResult(AttemptResult::Answered, START);
+        fleet.standing("endpoint-0").noteResult(EndpointResult::FailureAnswer, START);
+        fleet.standing("endpoint-1").noteResult(EndpointResult::Answered, START);
     }
     CHECK(chooser.choose(fleet.candidates(), nullptr, 0, START).endpoint->id == "endpoint-1");
     CHECK(fleet.standing("endpoint-0").failureShare(START) > 0.5);
