A digest's text lengths are bounded before memory is taken

Cause: found by the first fuzz run of decodeDigest: POCO's reader takes as much memory as a text's length in the datagram says, up to 4 GB, so one stray datagram could end a gateway. Ruled out: a leak (one allocation of 3 GB). Change: lengths are read and bounded by 128 bytes first; test "a length from outside never decides how much memory is taken".

--- a/src/gateway/peerdigest.cpp
+++ b/src/gateway/peerdigest.cpp
@@ -23,6 +23,18 @@
 constexpr std::size_t MOST_SUSPICIONS = 8;
 constexpr std::size_t MOST_NAME_BYTES = 128;
 
+/** Reads a text whose length comes from outside; one that is too long ends the reading. */
+bool readText(Poco::BinaryReader &in, std::string &text)
+{
+    Poco::UInt32 size = 0;
+    in.read7BitEncoded(size);
+    if (!in.good() || size > MOST_NAME_BYTES) {
+        return false;
+    }
+    in.readRaw(size, text);
+    return in.good();
+}
+
 }
 
 std::uint32_t endpointHash(const std::string &endpointId)
@@ -71,7 +83,10 @@
     float prefillMsPerSecond = 0;
     float longAnswers = 0;
     Poco::UInt64 configurationRevision = 0;
-    in >> out.name >> incarnation >> sequence >> configurationRevision >> prefillMsPerSecond >> longAnswers;
+    if (!readText(in, out.name)) {
+        return std::nullopt;
+    }
+    in >> incarnation >> sequence >> configurationRevision >> prefillMsPerSecond >> longAnswers;
     out.demand = {prefillMsPerSecond, longAnswers};
     out.incarnation = incarnation;
     out.sequence = sequence;
@@ -92,10 +107,13 @@
         Poco::UInt8 crashes = 0;
         Poco::UInt32 ageMs = 0;
         std::string endpoint;
-        in >> fingerprint >> crashes >> ageMs >> endpoint;
+        in >> fingerprint >> crashes >> ageMs;
+        if (!readText(in, endpoint)) {
+            return std::nullopt;
+        }
         out.suspicions.push_back({fingerprint, crashes, now - milliseconds(ageMs), endpoint});
     }
-    if (!in.good() || out.name.empty() || out.name.size() > MOST_NAME_BYTES) {
+    if (!in.good() || out.name.empty()) {
         return std::nullopt;
     }
     return out;
--- a/test/correctness/peerdigest.cpp
+++ b/test/correctness/peerdigest.cpp
@@ -57,6 +57,11 @@
     }
 }
 
+TEST_CASE("a length from outside never decides how much memory is taken")
+{
+    CHECK_FALSE(decodeDigest(std::string("\x01\xff\xff\xff\xff\x0f", 6), START));
+}
+
 TEST_CASE("sums follow the newest digest of each peer and drop silent ones")
 {
     PeerView view("self");
