One decay function for all fading observations; a report of waiting that nothing read is gone

Cause: fading() stood three times (endpointstanding, estimatecorrection, workloadsplit), and EndpointStanding::waiting() had no caller since estimates use digests. No change of behaviour.

--- a/src/gateway/endpointstanding.cpp
+++ b/src/gateway/endpointstanding.cpp
@@ -3,8 +3,9 @@
  */
 #include "endpointstanding.h"
 
+#include "exponentialdecay.h"
+
 #include <algorithm>
-#include <cmath>
 
 namespace Cyclamenturn
 {
@@ -21,11 +22,6 @@
 /** Age at which a report of the others' load has lost half of its weight. */
 constexpr Duration REPORT_HALF_LIFE = milliseconds(1500);
 
-double fading(Duration age, Duration constant)
-{
-    return std::exp(-static_cast<double>(age.count()) / static_cast<double>(constant.count()));
-}
-
 }
 
 void EndpointStanding::noteSent(std::int64_t prefillTokens)
@@ -60,17 +56,12 @@
         return m_inFlight;
     }
     const double others = std::max(0, m_load->running + m_load->waiting - m_inFlightAtLoad);
-    return m_inFlight + others * fading(now - m_loadAt, REPORT_HALF_LIFE * 2);
-}
-
-double EndpointStanding::waiting(TimePoint now) const
-{
-    return m_load ? m_load->waiting * fading(now - m_loadAt, REPORT_HALF_LIFE) : 0;
+    return m_inFlight + others * decayed(now - m_loadAt, REPORT_HALF_LIFE * 2);
 }
 
 void EndpointStanding::fade(TimePoint now)
 {
-    const double factor = fading(now - m_fadedAt, RESULT_MEMORY);
+    const double factor = decayed(now - m_fadedAt, RESULT_MEMORY);
     m_attempts *= factor;
     m_failures *= factor;
     m_fadedAt = now;
@@ -112,7 +103,7 @@
 
 double EndpointStanding::failureShare(TimePoint now) const
 {
-    const double factor = fading(now - m_fadedAt, RESULT_MEMORY);
+    const double factor = decayed(now - m_fadedAt, RESULT_MEMORY);
     return m_failures * factor / (m_attempts * factor + PRIOR_ATTEMPTS);
 }
 
--- a/src/gateway/endpointstanding.h
+++ b/src/gateway/endpointstanding.h
@@ -55,8 +55,6 @@
     }
     /** Requests there by all callers: the last report of the others' and our own. */
     double load(TimePoint now) const;
-    /** Requests of all callers that wait for a slot or whose prompt isn't read yet. */
-    double waiting(TimePoint now) const;
     /** Tokens of this process's requests that the engine still has to read. */
     std::int64_t pendingPrefillTokens() const
     {
--- a/src/gateway/estimatecorrection.cpp
+++ b/src/gateway/estimatecorrection.cpp
@@ -3,8 +3,9 @@
  */
 #include "estimatecorrection.h"
 
+#include "exponentialdecay.h"
+
 #include <algorithm>
-#include <cmath>
 
 namespace Cyclamenturn
 {
@@ -17,16 +18,11 @@
 constexpr double LEAST_FACTOR = 0.7;
 constexpr double LARGEST_FACTOR = 6;
 
-double fading(Duration age)
-{
-    return std::exp(-static_cast<double>(age.count()) / static_cast<double>(EstimateCorrection::MEMORY.count()));
-}
-
 }
 
 void EstimateCorrection::note(double expectedMs, double actualMs, TimePoint now)
 {
-    const double factor = fading(now - m_notedAt);
+    const double factor = decayed(now - m_notedAt, MEMORY);
     m_expected = m_expected * factor + expectedMs;
     m_actual = m_actual * factor + actualMs;
     m_notedAt = now;
@@ -34,7 +30,7 @@
 
 double EstimateCorrection::factor(TimePoint now) const
 {
-    const double faded = fading(now - m_notedAt);
+    const double faded = decayed(now - m_notedAt, MEMORY);
     return std::clamp((m_actual * faded + PRIOR_MS) / (m_expected * faded + PRIOR_MS), LEAST_FACTOR, LARGEST_FACTOR);
 }
 
--- a/src/gateway/workloadsplit.cpp
+++ b/src/gateway/workloadsplit.cpp
@@ -3,6 +3,8 @@
  */
 #include "workloadsplit.h"
 
+#include "exponentialdecay.h"
+
 #include "placement.h"
 
 #include <algorithm>
@@ -52,23 +54,13 @@
     return reading > LONG_PROMPT_SHARE * (reading + writing) ? WorkloadKind::LongPrompt : WorkloadKind::LongAnswer;
 }
 
-namespace
-{
-
-double fading(Duration age)
-{
-    return std::exp(-static_cast<double>(age.count()) / static_cast<double>(WorkloadSplit::MEMORY.count()));
-}
-
-}
-
 void WorkloadSplit::noteStarted(const PromptTraits &prompt, const EngineCostModel &engine, TimePoint now)
 {
     if (workloadOf(prompt, engine) == WorkloadKind::LongAnswer) {
         ++m_longAnswers;
         return;
     }
-    m_prefillMs *= fading(now - m_notedAt);
+    m_prefillMs *= decayed(now - m_notedAt, MEMORY);
     m_notedAt = now;
     m_prefillMs
         += ownPrefillMs(prompt, engine) * engine.rereadFactor + expectedOutputTokens(prompt) * engine.batchedTokenMs;
@@ -85,7 +77,7 @@
 {
     constexpr double MICROSECONDS_PER_SECOND = 1e6;
     const double seconds = static_cast<double>(MEMORY.count()) / MICROSECONDS_PER_SECOND;
-    return {m_prefillMs * fading(now - m_notedAt) / seconds, static_cast<double>(m_longAnswers)};
+    return {m_prefillMs * decayed(now - m_notedAt, MEMORY) / seconds, static_cast<double>(m_longAnswers)};
 }
 
 std::size_t WorkloadSplit::longAnswerEndpoints(
