Own interface on the event-driven transport; the listener with a thread a connection is gone

Ruled out: rewriting entry and agent as flows on the loop; their handlers block by design (mailboxes, answer buffers), and a bounded pool behind the loop keeps them as they are. No load figures taken. Conclusion: one HTTP server in the product. Clients of the own interface still use POCO's sessions.

--- a/src/agentdoor.cpp
+++ b/src/agentdoor.cpp
@@ -8,8 +8,9 @@
 #include "configurationservice.h"
 #include "controlpages.h"
 #include "errors.h"
-#include "httplistener.h"
 #include "jsoncodec.h"
+#include "transport/serverexchange.h"
+#include "transport/threadedhttpserver.h"
 
 #include <future>
 
@@ -26,7 +27,6 @@
 constexpr int HTTP_UNAVAILABLE = 503;
 const std::string CALLS_PATH = "/v1/calls/";
 constexpr Duration BEAT_INTERVAL = milliseconds(500);
-constexpr Duration BODY_TIMEOUT = milliseconds(5000);
 constexpr std::size_t FALLBACK_BODY_LIMIT = 1 << 20;
 /** Room for what the entry adds to a caller's body when a generation resumes. */
 constexpr std::size_t RESUME_ROOM_BYTES = 1 << 20;
@@ -53,8 +53,8 @@
 
 void AgentDoor::start()
 {
-    m_listener = std::make_unique<HttpListener>(
-        m_settings.listen, m_settings.threads, [this](HttpExchange &exchange) { handle(exchange); });
+    m_listener = std::make_unique<ThreadedHttpServer>(
+        m_settings.listen, m_settings.threads, [this](ServerExchange &exchange) { handle(exchange); });
 }
 
 void AgentDoor::stop()
@@ -69,7 +69,7 @@
     m_listener->waitIdle(timeout);
 }
 
-void AgentDoor::handle(HttpExchange &exchange)
+void AgentDoor::handle(ServerExchange &exchange)
 {
     if (m_pages->handle(exchange) || !m_pages->authorize(exchange)) {
         return;
@@ -89,7 +89,7 @@
     }
 }
 
-void AgentDoor::handleHandshake(HttpExchange &exchange)
+void AgentDoor::handleHandshake(ServerExchange &exchange)
 {
     const std::string from = exchange.header("X-From");
     const std::string revision = exchange.header("X-Revision");
@@ -110,11 +110,11 @@
     exchange.reply(HTTP_OK, toJsonText(m_loop->figures().toJson()));
 }
 
-void AgentDoor::handleNewCall(HttpExchange &exchange)
+void AgentDoor::handleNewCall(ServerExchange &exchange)
 {
     const auto configuration = m_configuration->current();
     const std::size_t limit = configuration ? configuration->limits().bodyLimitBytes : FALLBACK_BODY_LIMIT;
-    auto body = exchange.readBody(limit + RESUME_ROOM_BYTES, BODY_TIMEOUT);
+    auto body = exchange.readBody(limit + RESUME_ROOM_BYTES);
     if (!body) {
         exchange.reply(HTTP_TOO_LARGE, "{\"error\":\"body\"}");
         return;
@@ -152,7 +152,7 @@
     return call.answer;
 }
 
-void AgentDoor::handleResume(HttpExchange &exchange, const std::string &callId)
+void AgentDoor::handleResume(ServerExchange &exchange, const std::string &callId)
 {
     const auto answer = m_calls->answer(callId);
     std::size_t from = 0;
@@ -169,13 +169,13 @@
     stream(exchange, answer, from);
 }
 
-void AgentDoor::handleCancel(HttpExchange &exchange, const std::string &callId)
+void AgentDoor::handleCancel(ServerExchange &exchange, const std::string &callId)
 {
     m_loop->report(CallCancelled{callId});
     exchange.reply(HTTP_OK, "{}");
 }
 
-void AgentDoor::stream(HttpExchange &exchange, const std::shared_ptr<AnswerBuffer> &answer, std::size_t from)
+void AgentDoor::stream(ServerExchange &exchange, const std::shared_ptr<AnswerBuffer> &answer, std::size_t from)
 {
     answer->attachReader();
     try {
--- a/src/agentdoor.h
+++ b/src/agentdoor.h
@@ -17,8 +17,8 @@
 class AgentLoop;
 class ConfigurationService;
 class ControlPages;
-class HttpExchange;
-class HttpListener;
+class ServerExchange;
+class ThreadedHttpServer;
 
 class AgentDoor : public Service
 {
@@ -35,13 +35,13 @@
     void waitIdle(Duration timeout);
 
 private:
-    void handle(HttpExchange &exchange);
-    void handleHandshake(HttpExchange &exchange);
-    void handleNewCall(HttpExchange &exchange);
-    void handleResume(HttpExchange &exchange, const std::string &callId);
-    void handleCancel(HttpExchange &exchange, const std::string &callId);
+    void handle(ServerExchange &exchange);
+    void handleHandshake(ServerExchange &exchange);
+    void handleNewCall(ServerExchange &exchange);
+    void handleResume(ServerExchange &exchange, const std::string &callId);
+    void handleCancel(ServerExchange &exchange, const std::string &callId);
     std::shared_ptr<AnswerBuffer> accept(const CallHeader &header, std::string body);
-    void stream(HttpExchange &exchange, const std::shared_ptr<AnswerBuffer> &answer, std::size_t from);
+    void stream(ServerExchange &exchange, const std::shared_ptr<AnswerBuffer> &answer, std::size_t from);
     void sendFrames(std::ostream &out, AnswerBuffer &answer, std::size_t from);
     Json::Value queryKey(const Json::Value &parameters);
     Json::Value status();
@@ -51,7 +51,7 @@
     std::shared_ptr<AgentLoop> m_loop;
     std::shared_ptr<ConfigurationService> m_configuration;
     std::shared_ptr<ControlPages> m_pages;
-    std::unique_ptr<HttpListener> m_listener;
+    std::unique_ptr<ThreadedHttpServer> m_listener;
     std::atomic<bool> m_leaving{false};
 };
 
--- a/src/callerreply.cpp
+++ b/src/callerreply.cpp
@@ -4,8 +4,8 @@
 #include "callerreply.h"
 
 #include "admission.h"
-#include "httplistener.h"
 #include "jsoncodec.h"
+#include "transport/serverexchange.h"
 
 #include <cmath>
 
@@ -29,7 +29,7 @@
     return out;
 }
 
-void setOutcomeHeaders(HttpExchange &exchange, const Outcome &outcome)
+void setOutcomeHeaders(ServerExchange &exchange, const Outcome &outcome)
 {
     exchange.setHeader("X-Outcome", toString(outcome.kind()));
     exchange.setHeader("X-Reason", toString(outcome.reason()));
@@ -52,7 +52,7 @@
 
 }
 
-void replyWithError(HttpExchange &exchange, const Outcome &outcome)
+void replyWithError(ServerExchange &exchange, const Outcome &outcome)
 {
     setOutcomeHeaders(exchange, outcome);
     exchange.reply(httpStatusOf(outcome), toJsonText(errorJson(outcome)));
@@ -63,7 +63,7 @@
 {
 }
 
-bool ChatStreamReply::head(HttpExchange &, const AnswerHead &)
+bool ChatStreamReply::head(ServerExchange &, const AnswerHead &)
 {
     return true;
 }
@@ -74,7 +74,7 @@
     return m_out->good();
 }
 
-bool ChatStreamReply::piece(HttpExchange &exchange, const std::string &text)
+bool ChatStreamReply::piece(ServerExchange &exchange, const std::string &text)
 {
     if (!m_out) {
         m_out = &exchange.beginStream(HTTP_OK, "text/event-stream");
@@ -84,7 +84,7 @@
     return send(toJsonText(chunk));
 }
 
-void ChatStreamReply::finish(HttpExchange &exchange, const Outcome &outcome)
+void ChatStreamReply::finish(ServerExchange &exchange, const Outcome &outcome)
 {
     if (outcome.kind() != OutcomeKind::Served) {
         if (!m_out) {
@@ -108,19 +108,19 @@
 {
 }
 
-bool ChatWholeReply::head(HttpExchange &, const AnswerHead &)
+bool ChatWholeReply::head(ServerExchange &, const AnswerHead &)
 {
     return true;
 }
 
-bool ChatWholeReply::piece(HttpExchange &, const std::string &text)
+bool ChatWholeReply::piece(ServerExchange &, const std::string &text)
 {
     m_text += text;
     ++m_pieces;
     return true;
 }
 
-void ChatWholeReply::finish(HttpExchange &exchange, const Outcome &outcome)
+void ChatWholeReply::finish(ServerExchange &exchange, const Outcome &outcome)
 {
     if (outcome.kind() != OutcomeKind::Served) {
         replyWithError(exchange, outcome);
@@ -138,19 +138,19 @@
     exchange.reply(HTTP_OK, toJsonText(out));
 }
 
-bool PlainReply::head(HttpExchange &, const AnswerHead &head)
+bool PlainReply::head(ServerExchange &, const AnswerHead &head)
 {
     m_head = head;
     return true;
 }
 
-bool PlainReply::piece(HttpExchange &, const std::string &text)
+bool PlainReply::piece(ServerExchange &, const std::string &text)
 {
     m_body += text;
     return true;
 }
 
-void PlainReply::finish(HttpExchange &exchange, const Outcome &outcome)
+void PlainReply::finish(ServerExchange &exchange, const Outcome &outcome)
 {
     const bool answered = outcome.kind() == OutcomeKind::Served || outcome.kind() == OutcomeKind::AlreadyRun;
     if (!answered) {
--- a/src/callerreply.h
+++ b/src/callerreply.h
@@ -12,7 +12,7 @@
 namespace Cyclamenturn
 {
 
-class HttpExchange;
+class ServerExchange;
 
 /** Chat completions as server-sent events; ends in "[DONE]" only when the answer is whole. */
 class ChatStreamReply
@@ -20,9 +20,9 @@
 public:
     explicit ChatStreamReply(std::string callId);
 
-    bool head(HttpExchange &exchange, const AnswerHead &head);
-    bool piece(HttpExchange &exchange, const std::string &text);
-    void finish(HttpExchange &exchange, const Outcome &outcome);
+    bool head(ServerExchange &exchange, const AnswerHead &head);
+    bool piece(ServerExchange &exchange, const std::string &text);
+    void finish(ServerExchange &exchange, const Outcome &outcome);
 
 private:
     bool send(const std::string &data);
@@ -37,9 +37,9 @@
 public:
     explicit ChatWholeReply(std::string callId);
 
-    bool head(HttpExchange &exchange, const AnswerHead &head);
-    bool piece(HttpExchange &exchange, const std::string &text);
-    void finish(HttpExchange &exchange, const Outcome &outcome);
+    bool head(ServerExchange &exchange, const AnswerHead &head);
+    bool piece(ServerExchange &exchange, const std::string &text);
+    void finish(ServerExchange &exchange, const Outcome &outcome);
 
 private:
     std::string m_callId;
@@ -51,9 +51,9 @@
 class PlainReply
 {
 public:
-    bool head(HttpExchange &exchange, const AnswerHead &head);
-    bool piece(HttpExchange &exchange, const std::string &text);
-    void finish(HttpExchange &exchange, const Outcome &outcome);
+    bool head(ServerExchange &exchange, const AnswerHead &head);
+    bool piece(ServerExchange &exchange, const std::string &text);
+    void finish(ServerExchange &exchange, const Outcome &outcome);
 
 private:
     AnswerHead m_head;
@@ -63,6 +63,6 @@
 using CallerReply = std::variant<ChatStreamReply, ChatWholeReply, PlainReply>;
 
 /** Answers with a typed error body and the headers that tell the outcome. */
-void replyWithError(HttpExchange &exchange, const Outcome &outcome);
+void replyWithError(ServerExchange &exchange, const Outcome &outcome);
 
 }
--- a/src/controlpages.cpp
+++ b/src/controlpages.cpp
@@ -6,9 +6,9 @@
 #include "configurationservice.h"
 #include "errors.h"
 #include "fleetkey.h"
-#include "httplistener.h"
 #include "jsoncodec.h"
 #include "metrics.h"
+#include "transport/serverexchange.h"
 
 namespace Cyclamenturn
 {
@@ -21,7 +21,6 @@
 constexpr int HTTP_UNAUTHORIZED = 401;
 constexpr int HTTP_UNAVAILABLE = 503;
 constexpr std::size_t RPC_LIMIT_BYTES = 1 << 20;
-constexpr Duration RPC_READ_TIMEOUT = milliseconds(2000);
 
 }
 
@@ -69,7 +68,7 @@
     return out;
 }
 
-bool ControlPages::authorize(HttpExchange &exchange)
+bool ControlPages::authorize(ServerExchange &exchange)
 {
     if (m_fleetKey->accepts(bearerToken(exchange.header("Authorization")))) {
         return true;
@@ -79,7 +78,7 @@
     return false;
 }
 
-bool ControlPages::handle(HttpExchange &exchange)
+bool ControlPages::handle(ServerExchange &exchange)
 {
     const std::string &path = exchange.path();
     if (path == "/healthz") {
@@ -97,12 +96,12 @@
     return true;
 }
 
-void ControlPages::handleRpc(HttpExchange &exchange)
+void ControlPages::handleRpc(ServerExchange &exchange)
 {
     if (!authorize(exchange)) {
         return;
     }
-    const auto body = exchange.readBody(RPC_LIMIT_BYTES, RPC_READ_TIMEOUT);
+    const auto body = exchange.readBody(RPC_LIMIT_BYTES);
     if (!body) {
         exchange.reply(HTTP_BAD_REQUEST, "{\"error\":\"body\"}");
         return;
--- a/src/controlpages.h
+++ b/src/controlpages.h
@@ -15,7 +15,7 @@
 
 class ConfigurationService;
 class FleetKey;
-class HttpExchange;
+class ServerExchange;
 class Metrics;
 
 class ControlPages : public Service
@@ -38,12 +38,12 @@
     void addMethod(const std::string &name, RpcServer::Method method);
 
     /** Answers the exchange if its path is one of ours; returns false otherwise. */
-    bool handle(HttpExchange &exchange);
+    bool handle(ServerExchange &exchange);
     /** Answers 401 and returns false unless the far end shows the fleet's key. */
-    bool authorize(HttpExchange &exchange);
+    bool authorize(ServerExchange &exchange);
 
 private:
-    void handleRpc(HttpExchange &exchange);
+    void handleRpc(ServerExchange &exchange);
     Json::Value fetchConfiguration(const Json::Value &parameters);
     static Json::Value checkConfiguration(const Json::Value &parameters);
 
--- a/src/entrydoor.cpp
+++ b/src/entrydoor.cpp
@@ -9,9 +9,10 @@
 #include "errors.h"
 #include "eventlog.h"
 #include "fleetkey.h"
-#include "httplistener.h"
 #include "jsoncodec.h"
 #include "metrics.h"
+#include "transport/serverexchange.h"
+#include "transport/threadedhttpserver.h"
 
 namespace Cyclamenturn
 {
@@ -22,8 +23,6 @@
 constexpr int HTTP_NOT_FOUND = 404;
 const std::string CHAT_PATH = "/v1/chat/completions";
 const std::string SERVICE_PATH = "/svc/";
-constexpr Duration BODY_TIMEOUT = milliseconds(10000);
-constexpr std::size_t FALLBACK_BODY_LIMIT = 1 << 20;
 /** Longer than any wait of the core; only a broken invariant leaves a mailbox empty so long. */
 constexpr Duration ACTION_TIMEOUT = milliseconds(60000);
 
@@ -48,8 +47,8 @@
 
 void EntryDoor::start()
 {
-    m_listener = std::make_unique<HttpListener>(
-        m_settings.listen, m_settings.threads, [this](HttpExchange &exchange) { handle(exchange); });
+    m_listener = std::make_unique<ThreadedHttpServer>(
+        m_settings.listen, m_settings.threads, [this](ServerExchange &exchange) { handle(exchange); });
 }
 
 void EntryDoor::stop()
@@ -73,7 +72,7 @@
     return m_settings.name + "-" + std::to_string(m_incarnation) + "-" + std::to_string(++m_nextId);
 }
 
-void EntryDoor::handle(HttpExchange &exchange)
+void EntryDoor::handle(ServerExchange &exchange)
 {
     if (m_pages->handle(exchange)) {
         return;
@@ -89,7 +88,7 @@
     }
 }
 
-void EntryDoor::handleCall(HttpExchange &exchange, const std::string &service)
+void EntryDoor::handleCall(ServerExchange &exchange, const std::string &service)
 {
     Progress progress{Call(), CallerRequest(), exchange.contentType(), ServiceKind::Plain, PlainReply(), "", 0,
         currentTime(), false, false};
@@ -109,7 +108,7 @@
         refuse(exchange, request, Outcome::notRun(RefusalReason::NoConfiguration, milliseconds(1000)));
         return;
     }
-    auto body = exchange.readBody(configuration->limits().bodyLimitBytes, BODY_TIMEOUT);
+    auto body = exchange.readBody(configuration->limits().bodyLimitBytes);
     if (!body) {
         refuse(exchange, request, Outcome::notRun(RefusalReason::BodyTooLarge));
         return;
@@ -146,7 +145,7 @@
     return streams ? CallerReply(ChatStreamReply(request.id)) : CallerReply(ChatWholeReply(request.id));
 }
 
-void EntryDoor::refuse(HttpExchange &exchange, const CallerRequest &request, const Outcome &outcome)
+void EntryDoor::refuse(ServerExchange &exchange, const CallerRequest &request, const Outcome &outcome)
 {
     // A resend that is refused here says nothing of the first attempt under its key.
     const bool resend = !request.idempotencyKey.empty() && request.attempt != "0";
@@ -159,7 +158,7 @@
     replyWithError(exchange, told);
 }
 
-void EntryDoor::serve(HttpExchange &exchange, Progress &progress)
+void EntryDoor::serve(ServerExchange &exchange, Progress &progress)
 {
     const std::string callId = progress.call.id;
     exchange.setHeader("X-Request-Id", callId);
@@ -183,7 +182,7 @@
     m_loop->closeMailbox(callId);
 }
 
-AttemptEnded EntryDoor::attempt(HttpExchange &exchange, Progress &progress, const SendAttempt &action)
+AttemptEnded EntryDoor::attempt(ServerExchange &exchange, Progress &progress, const SendAttempt &action)
 {
     CallHeader header;
     header.call = progress.call;
@@ -218,7 +217,7 @@
     return toJsonText(body);
 }
 
-AttemptSink EntryDoor::makeSink(HttpExchange &exchange, Progress &progress, const Address &agent)
+AttemptSink EntryDoor::makeSink(ServerExchange &exchange, Progress &progress, const Address &agent)
 {
     AttemptSink sink;
     sink.onHead = [&](const AnswerHead &head) {
@@ -248,7 +247,7 @@
     return sink;
 }
 
-void EntryDoor::finish(HttpExchange &exchange, Progress &progress, const Outcome &outcome)
+void EntryDoor::finish(ServerExchange &exchange, Progress &progress, const Outcome &outcome)
 {
     const Duration elapsed = currentTime() - progress.arrivedAt;
     const std::string &className = progress.call.className;
--- a/src/entrydoor.h
+++ b/src/entrydoor.h
@@ -20,8 +20,8 @@
 class ConfigurationService;
 class ControlPages;
 class FleetKey;
-class HttpExchange;
-class HttpListener;
+class ServerExchange;
+class ThreadedHttpServer;
 class Metrics;
 
 class EntryDoor : public Service
@@ -57,14 +57,14 @@
         bool callerGone = false;
     };
 
-    void handle(HttpExchange &exchange);
-    void handleCall(HttpExchange &exchange, const std::string &service);
-    void refuse(HttpExchange &exchange, const CallerRequest &request, const Outcome &outcome);
-    void serve(HttpExchange &exchange, Progress &progress);
-    AttemptEnded attempt(HttpExchange &exchange, Progress &progress, const SendAttempt &action);
-    AttemptSink makeSink(HttpExchange &exchange, Progress &progress, const Address &agent);
+    void handle(ServerExchange &exchange);
+    void handleCall(ServerExchange &exchange, const std::string &service);
+    void refuse(ServerExchange &exchange, const CallerRequest &request, const Outcome &outcome);
+    void serve(ServerExchange &exchange, Progress &progress);
+    AttemptEnded attempt(ServerExchange &exchange, Progress &progress, const SendAttempt &action);
+    AttemptSink makeSink(ServerExchange &exchange, Progress &progress, const Address &agent);
     std::string bodyFor(const Progress &progress) const;
-    void finish(HttpExchange &exchange, Progress &progress, const Outcome &outcome);
+    void finish(ServerExchange &exchange, Progress &progress, const Outcome &outcome);
     /** Throws UserError when the body of a chat completion has another form. */
     CallerReply makeReply(const CallerRequest &request, ServiceKind kind) const;
     std::string nextId();
@@ -76,7 +76,7 @@
     std::shared_ptr<FleetKey> m_fleetKey;
     std::shared_ptr<ControlPages> m_pages;
     std::shared_ptr<Metrics> m_metrics;
-    std::unique_ptr<HttpListener> m_listener;
+    std::unique_ptr<ThreadedHttpServer> m_listener;
     std::atomic<bool> m_leaving{false};
     std::atomic<std::uint64_t> m_nextId{0};
     /** Makes the ids of two lives of one entry differ. */
--- a/src/transport/httpserver.cpp
+++ b/src/transport/httpserver.cpp
@@ -31,7 +31,38 @@
 
 HttpServer::~HttpServer()
 {
-    m_loop.unwatch(m_socket);
+    if (m_accepting) {
+        m_loop.unwatch(m_socket);
+    }
+}
+
+void HttpServer::stopAccepting()
+{
+    m_draining = true;
+    if (m_accepting) {
+        m_accepting = false;
+        m_loop.unwatch(m_socket);
+        m_socket.close();
+    }
+}
+
+void HttpServer::abortBusy()
+{
+    std::vector<HttpServerConnectionPtr> busy;
+    for (const auto &[key, connection] : m_connections) {
+        if (connection->isBusy()) {
+            busy.push_back(connection);
+        }
+    }
+    for (const auto &connection : busy) {
+        connection->abort();
+    }
+}
+
+bool HttpServer::hasPendingOutput() const
+{
+    return std::any_of(
+        m_connections.begin(), m_connections.end(), [](const auto &item) { return item.second->pendingOutput() > 0; });
 }
 
 std::size_t HttpServer::busyConnections() const
--- a/src/transport/httpserver.h
+++ b/src/transport/httpserver.h
@@ -46,6 +46,11 @@
     {
         m_draining = true;
     }
+    /** Takes no new connection, and each answer is the last on its connection. */
+    void stopAccepting();
+    /** Cuts the connections whose answer is in progress. */
+    void abortBusy();
+    bool hasPendingOutput() const;
     /** Closes the connections on which no request has begun. */
     void closeIdle();
     bool isDraining() const
@@ -73,6 +78,7 @@
     RequestHandler m_handler;
     HttpServerLimits m_limits;
     bool m_draining = false;
+    bool m_accepting = true;
     std::unordered_map<HttpServerConnection *, HttpServerConnectionPtr> m_connections;
 };
 
--- a/src/transport/httpserverconnection.cpp
+++ b/src/transport/httpserverconnection.cpp
@@ -170,6 +170,7 @@
 {
     m_busy = false;
     m_leftHandler = nullptr;
+    m_drainedHandler = nullptr;
     if (m_closeAfterAnswer) {
         m_closeWhenDrained = true;
         if (m_connection.pendingOutput() == 0) {
@@ -196,6 +197,8 @@
 {
     if (m_closeWhenDrained) {
         remove();
+    } else if (m_drainedHandler) {
+        m_drainedHandler();
     }
 }
 
@@ -213,6 +216,7 @@
 void HttpServerConnection::remove()
 {
     m_loop.cancel(m_timer);
+    m_drainedHandler = nullptr;
     m_server.remove(this);
 }
 
--- a/src/transport/httpserverconnection.h
+++ b/src/transport/httpserverconnection.h
@@ -43,6 +43,15 @@
     {
         m_leftHandler = std::move(handler);
     }
+    /** Called whenever the far end has taken all that was sent, until the answer in progress is complete. */
+    void setDrainedHandler(std::function<void()> handler)
+    {
+        m_drainedHandler = std::move(handler);
+    }
+    std::size_t pendingOutput() const
+    {
+        return m_connection.pendingOutput();
+    }
     bool isBusy() const
     {
         return m_busy;
@@ -72,6 +81,7 @@
     TcpConnection m_connection;
     std::optional<HttpParser> m_parser;
     std::function<void()> m_leftHandler;
+    std::function<void()> m_drainedHandler;
     EventLoop::Timer m_timer;
     TimePoint m_requestStart;
     /** A request was handed over and its answer isn't complete. */
--- a/standins/standin-engine.cpp
+++ b/standins/standin-engine.cpp
@@ -9,10 +9,11 @@
 #include "clock.h"
 #include "errors.h"
 #include "eventlog.h"
-#include "httplistener.h"
 #include "jsoncodec.h"
 #include "options.h"
 #include "rendezvoushash.h"
+#include "transport/serverexchange.h"
+#include "transport/threadedhttpserver.h"
 
 #include <algorithm>
 #include <condition_variable>
@@ -31,7 +32,6 @@
 {
 
 constexpr std::size_t MOST_BODY_BYTES = 4 << 20;
-constexpr Duration BODY_TIMEOUT = milliseconds(5000);
 constexpr Duration POLL_INTERVAL = milliseconds(20);
 constexpr int THREADS = 300;
 constexpr std::int64_t MILLI = 1000;
@@ -97,7 +97,7 @@
     {
     }
 
-    void handle(HttpExchange &exchange);
+    void handle(ServerExchange &exchange);
 
     TimePoint crashedUntil()
     {
@@ -114,17 +114,17 @@
     }
 
 private:
-    void handleChat(HttpExchange &exchange);
-    void handleCancel(HttpExchange &exchange);
-    void handleLoad(HttpExchange &exchange);
-    void handleKv(HttpExchange &exchange);
-    void handleOrder(HttpExchange &exchange);
-    void handleControl(HttpExchange &exchange);
-    void handleStats(HttpExchange &exchange);
+    void handleChat(ServerExchange &exchange);
+    void handleCancel(ServerExchange &exchange);
+    void handleLoad(ServerExchange &exchange);
+    void handleKv(ServerExchange &exchange);
+    void handleOrder(ServerExchange &exchange);
+    void handleControl(ServerExchange &exchange);
+    void handleStats(ServerExchange &exchange);
     Generation readGeneration(const std::string &body) const;
     bool enter(const Generation &generation);
     void leave(const Generation &generation);
-    void generate(HttpExchange &exchange, const Generation &generation);
+    void generate(ServerExchange &exchange, const Generation &generation);
     bool pause(const Generation &generation, Duration time);
     bool isCancelled(const std::string &id);
     bool isCrashed();
@@ -157,7 +157,7 @@
     TimePoint m_crashedUntil;
 };
 
-void Engine::handle(HttpExchange &exchange)
+void Engine::handle(ServerExchange &exchange)
 {
     const std::string &path = exchange.path();
     if (isCrashed()) {
@@ -197,9 +197,9 @@
     return out;
 }
 
-void Engine::handleChat(HttpExchange &exchange)
+void Engine::handleChat(ServerExchange &exchange)
 {
-    const auto body = exchange.readBody(MOST_BODY_BYTES, BODY_TIMEOUT);
+    const auto body = exchange.readBody(MOST_BODY_BYTES);
     try {
         const Generation generation = readGeneration(body.value_or(""));
         if (!enter(generation)) {
@@ -279,7 +279,7 @@
     return !isCrashed() && !isCancelled(generation.id);
 }
 
-void Engine::generate(HttpExchange &exchange, const Generation &generation)
+void Engine::generate(ServerExchange &exchange, const Generation &generation)
 {
     bool hit = false;
     std::int64_t slow = MILLI;
@@ -329,9 +329,9 @@
     out << "data: " << toJsonText(event) << "\n\ndata: [DONE]\n\n" << std::flush;
 }
 
-void Engine::handleCancel(HttpExchange &exchange)
+void Engine::handleCancel(ServerExchange &exchange)
 {
-    const std::string body = exchange.readBody(MOST_BODY_BYTES, BODY_TIMEOUT).value_or("{}");
+    const std::string body = exchange.readBody(MOST_BODY_BYTES).value_or("{}");
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         const std::string id = JsonObject(parseJson(body)).text("request_id", "");
@@ -343,7 +343,7 @@
     exchange.reply(200, "{}");
 }
 
-void Engine::handleLoad(HttpExchange &exchange)
+void Engine::handleLoad(ServerExchange &exchange)
 {
     Json::Value out;
     {
@@ -358,9 +358,9 @@
     exchange.reply(200, toJsonText(out));
 }
 
-void Engine::handleKv(HttpExchange &exchange)
+void Engine::handleKv(ServerExchange &exchange)
 {
-    const JsonObject in(parseJson(exchange.readBody(MOST_BODY_BYTES, BODY_TIMEOUT).value_or("{}")));
+    const JsonObject in(parseJson(exchange.readBody(MOST_BODY_BYTES).value_or("{}")));
     const std::string prefix = in.text("prefix", "");
     Json::Value out;
     out["prefix"] = prefix;
@@ -371,9 +371,9 @@
     exchange.reply(200, toJsonText(out));
 }
 
-void Engine::handleOrder(HttpExchange &exchange)
+void Engine::handleOrder(ServerExchange &exchange)
 {
-    const JsonObject in(parseJson(exchange.readBody(MOST_BODY_BYTES, BODY_TIMEOUT).value_or("{}")));
+    const JsonObject in(parseJson(exchange.readBody(MOST_BODY_BYTES).value_or("{}")));
     const auto fence = static_cast<std::uint64_t>(in.integer("fence"));
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
@@ -391,9 +391,9 @@
     exchange.reply(200, "{}");
 }
 
-void Engine::handleControl(HttpExchange &exchange)
+void Engine::handleControl(ServerExchange &exchange)
 {
-    const JsonObject in(parseJson(exchange.readBody(MOST_BODY_BYTES, BODY_TIMEOUT).value_or("{}")));
+    const JsonObject in(parseJson(exchange.readBody(MOST_BODY_BYTES).value_or("{}")));
     const TimePoint now = currentTime();
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
@@ -406,7 +406,7 @@
     exchange.reply(200, "{}");
 }
 
-void Engine::handleStats(HttpExchange &exchange)
+void Engine::handleStats(ServerExchange &exchange)
 {
     Json::Value out;
     {
@@ -431,17 +431,17 @@
         {{"listen", "127.0.0.1:7800"}, {"slots", "8"}, {"token-us", "5000"}, {"prefill-ms", "20"}, {"cache", "64"},
             {"load-lag-ms", "500"}, {"checks-fencing", "1"}});
     Engine engine(options);
-    const auto handler = [&](HttpExchange &exchange) {
+    const auto handler = [&](ServerExchange &exchange) {
         engine.handle(exchange);
     };
-    auto listener = std::make_unique<HttpListener>(options.address("listen"), THREADS, handler);
+    auto listener = std::make_unique<ThreadedHttpServer>(options.address("listen"), THREADS, handler);
     while (!isSignalled()) {
         const bool crashed = engine.crashedUntil() > currentTime();
         if (crashed && listener) {
             listener.reset();
             engine.restart();
         } else if (!crashed && !listener) {
-            listener = std::make_unique<HttpListener>(options.address("listen"), THREADS, handler);
+            listener = std::make_unique<ThreadedHttpServer>(options.address("listen"), THREADS, handler);
         }
         std::this_thread::sleep_for(POLL_INTERVAL);
     }
--- a/standins/standin-service.cpp
+++ b/standins/standin-service.cpp
@@ -5,9 +5,10 @@
  */
 #include "clock.h"
 #include "eventlog.h"
-#include "httplistener.h"
 #include "jsoncodec.h"
 #include "options.h"
+#include "transport/serverexchange.h"
+#include "transport/threadedhttpserver.h"
 
 #include <atomic>
 #include <cstdlib>
@@ -22,7 +23,6 @@
 {
 
 constexpr std::size_t MOST_BODY_BYTES = 2 << 20;
-constexpr Duration BODY_TIMEOUT = milliseconds(5000);
 constexpr Duration POLL_INTERVAL = milliseconds(20);
 constexpr int THREADS = 256;
 constexpr std::int64_t MILLI = 1000;
@@ -36,7 +36,7 @@
     {
     }
 
-    void handle(HttpExchange &exchange)
+    void handle(ServerExchange &exchange)
     {
         if (exchange.path() == "/control") {
             handleControl(exchange);
@@ -55,9 +55,9 @@
     }
 
 private:
-    void handleWork(HttpExchange &exchange)
+    void handleWork(ServerExchange &exchange)
     {
-        const std::string body = exchange.readBody(MOST_BODY_BYTES, BODY_TIMEOUT).value_or("");
+        const std::string body = exchange.readBody(MOST_BODY_BYTES).value_or("");
         const std::string key = exchange.header("Idempotency-Key");
         bool lose = false;
         Duration wait{};
@@ -94,7 +94,7 @@
         exchange.reply(exchange.method() == "POST" ? 201 : 200, toJsonText(out));
     }
 
-    void handleRuns(HttpExchange &exchange)
+    void handleRuns(ServerExchange &exchange)
     {
         Json::Value out;
         const std::lock_guard<std::mutex> lock(m_mutex);
@@ -106,9 +106,9 @@
         exchange.reply(200, toJsonText(out));
     }
 
-    void handleControl(HttpExchange &exchange)
+    void handleControl(ServerExchange &exchange)
     {
-        const JsonObject in(parseJson(exchange.readBody(MOST_BODY_BYTES, BODY_TIMEOUT).value_or("{}")));
+        const JsonObject in(parseJson(exchange.readBody(MOST_BODY_BYTES).value_or("{}")));
         const TimePoint now = currentTime();
         {
             const std::lock_guard<std::mutex> lock(m_mutex);
@@ -139,16 +139,16 @@
     startLogging();
     const Options options(argc, argv, {{"listen", "127.0.0.1:7900"}, {"name", "service"}, {"work-ms", "20"}});
     PlainService service(options.text("name"), milliseconds(options.number("work-ms")));
-    const auto handler = [&](HttpExchange &exchange) {
+    const auto handler = [&](ServerExchange &exchange) {
         service.handle(exchange);
     };
-    auto listener = std::make_unique<HttpListener>(options.address("listen"), THREADS, handler);
+    auto listener = std::make_unique<ThreadedHttpServer>(options.address("listen"), THREADS, handler);
     while (!isSignalled()) {
         const bool crashed = service.crashedUntil() > currentTime();
         if (crashed && listener) {
             listener.reset();
         } else if (!crashed && !listener) {
-            listener = std::make_unique<HttpListener>(options.address("listen"), THREADS, handler);
+            listener = std::make_unique<ThreadedHttpServer>(options.address("listen"), THREADS, handler);
         }
         std::this_thread::sleep_for(POLL_INTERVAL);
     }
--- a/standins/standin-store.cpp
+++ b/standins/standin-store.cpp
@@ -7,9 +7,10 @@
 #include "clock.h"
 #include "errors.h"
 #include "eventlog.h"
-#include "httplistener.h"
 #include "jsoncodec.h"
 #include "options.h"
+#include "transport/serverexchange.h"
+#include "transport/threadedhttpserver.h"
 
 #include <Poco/URI.h>
 #include <condition_variable>
@@ -24,7 +25,6 @@
 {
 
 constexpr std::size_t MOST_VALUE_BYTES = 1 << 20;
-constexpr Duration BODY_TIMEOUT = milliseconds(5000);
 constexpr int THREADS = 400;
 constexpr Duration SILENCE = milliseconds(600000);
 constexpr Duration SILENCE_STEP = milliseconds(100);
@@ -70,15 +70,15 @@
     {
     }
 
-    void handle(HttpExchange &exchange);
+    void handle(ServerExchange &exchange);
 
 private:
-    void handleControl(HttpExchange &exchange);
-    void handleRead(HttpExchange &exchange, const std::string &key);
-    void handlePrefix(HttpExchange &exchange);
-    void handleWrite(HttpExchange &exchange, const std::string &key);
-    bool watchSilently(HttpExchange &exchange, bool isWatch);
-    bool applyFaults(HttpExchange &exchange, bool isWrite);
+    void handleControl(ServerExchange &exchange);
+    void handleRead(ServerExchange &exchange, const std::string &key);
+    void handlePrefix(ServerExchange &exchange);
+    void handleWrite(ServerExchange &exchange, const std::string &key);
+    bool watchSilently(ServerExchange &exchange, bool isWatch);
+    bool applyFaults(ServerExchange &exchange, bool isWrite);
     void expire();
     static Json::Value toJson(const std::string &key, const Entry &entry);
 
@@ -116,7 +116,7 @@
     }
 }
 
-bool Store::applyFaults(HttpExchange &exchange, bool isWrite)
+bool Store::applyFaults(ServerExchange &exchange, bool isWrite)
 {
     Duration slow{};
     {
@@ -136,7 +136,7 @@
     return true;
 }
 
-void Store::handle(HttpExchange &exchange)
+void Store::handle(ServerExchange &exchange)
 {
     const std::string prefix = "/kv/";
     const std::string &path = exchange.path();
@@ -165,7 +165,7 @@
     }
 }
 
-bool Store::watchSilently(HttpExchange &exchange, bool isWatch)
+bool Store::watchSilently(ServerExchange &exchange, bool isWatch)
 {
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
@@ -180,7 +180,7 @@
     return true;
 }
 
-void Store::handleRead(HttpExchange &exchange, const std::string &key)
+void Store::handleRead(ServerExchange &exchange, const std::string &key)
 {
     const std::string seen = exchange.query("seen");
     const std::string wait = exchange.query("wait_ms");
@@ -223,7 +223,7 @@
     exchange.reply(200, body);
 }
 
-void Store::handlePrefix(HttpExchange &exchange)
+void Store::handlePrefix(ServerExchange &exchange)
 {
     const std::string prefix = exchange.query("prefix");
     Json::Value out;
@@ -241,9 +241,9 @@
     exchange.reply(200, toJsonText(out));
 }
 
-void Store::handleWrite(HttpExchange &exchange, const std::string &key)
+void Store::handleWrite(ServerExchange &exchange, const std::string &key)
 {
-    const auto body = exchange.readBody(MOST_VALUE_BYTES, BODY_TIMEOUT);
+    const auto body = exchange.readBody(MOST_VALUE_BYTES);
     if (!body) {
         exchange.reply(413, "{\"error\":\"value\"}");
         return;
@@ -281,9 +281,9 @@
     exchange.reply(200, "{\"version\":" + std::to_string(version) + "}");
 }
 
-void Store::handleControl(HttpExchange &exchange)
+void Store::handleControl(ServerExchange &exchange)
 {
-    const auto body = exchange.readBody(MOST_VALUE_BYTES, BODY_TIMEOUT);
+    const auto body = exchange.readBody(MOST_VALUE_BYTES);
     const JsonObject in(parseJson(body && !body->empty() ? *body : "{}"));
     Json::Value out;
     {
@@ -317,7 +317,8 @@
     const Options options(
         argc, argv, {{"listen", "127.0.0.1:7700"}, {"reads-per-second", "2000"}, {"writes-per-second", "400"}});
     Store store(options.number("reads-per-second"), options.number("writes-per-second"));
-    HttpListener listener(options.address("listen"), THREADS, [&](HttpExchange &exchange) { store.handle(exchange); });
+    ThreadedHttpServer listener(
+        options.address("listen"), THREADS, [&](ServerExchange &exchange) { store.handle(exchange); });
     waitForSignal();
     std::_Exit(0);
 }
--- a/standins/standin-vmlist.cpp
+++ b/standins/standin-vmlist.cpp
@@ -4,9 +4,10 @@
  */
 #include "clock.h"
 #include "eventlog.h"
-#include "httplistener.h"
 #include "jsoncodec.h"
 #include "options.h"
+#include "transport/serverexchange.h"
+#include "transport/threadedhttpserver.h"
 
 #include <cstdlib>
 #include <map>
@@ -19,7 +20,6 @@
 {
 
 constexpr std::size_t MOST_BODY_BYTES = 4096;
-constexpr Duration BODY_TIMEOUT = milliseconds(2000);
 constexpr int THREADS = 64;
 
 struct Change
@@ -36,7 +36,7 @@
     {
     }
 
-    void handle(HttpExchange &exchange)
+    void handle(ServerExchange &exchange)
     {
         const std::string prefix = "/vms/";
         const std::string &path = exchange.path();
@@ -48,7 +48,7 @@
             exchange.reply(200, toJsonText(out));
             return;
         }
-        const std::string body = exchange.readBody(MOST_BODY_BYTES, BODY_TIMEOUT).value_or("");
+        const std::string body = exchange.readBody(MOST_BODY_BYTES).value_or("");
         const std::lock_guard<std::mutex> lock(m_mutex);
         if (path == "/control") {
             m_lag = milliseconds(JsonObject(parseJson(body)).integer("lag_ms"));
@@ -82,7 +82,8 @@
     startLogging();
     const Options options(argc, argv, {{"listen", "127.0.0.1:7701"}, {"lag-ms", "0"}});
     VmList list(milliseconds(options.number("lag-ms")));
-    HttpListener listener(options.address("listen"), THREADS, [&](HttpExchange &exchange) { list.handle(exchange); });
+    ThreadedHttpServer listener(
+        options.address("listen"), THREADS, [&](ServerExchange &exchange) { list.handle(exchange); });
     waitForSignal();
     std::_Exit(0);
 }
--- a/test/error/stop_after_handshake.cpp
+++ b/test/error/stop_after_handshake.cpp
@@ -3,7 +3,8 @@
  * request ran.
  */
 #include "httpexchange.h"
-#include "httplistener.h"
+#include "transport/serverexchange.h"
+#include "transport/threadedhttpserver.h"
 
 #include <catch2/catch.hpp>
 #include <future>
@@ -33,7 +34,7 @@
 {
     const Address address{"127.0.0.1", 18471};
     std::promise<void> shaken;
-    auto listener = std::make_unique<HttpListener>(address, 8, [&shaken](HttpExchange &exchange) {
+    auto listener = std::make_unique<ThreadedHttpServer>(address, 8, [&shaken](ServerExchange &exchange) {
         if (exchange.path() == "/handshake") {
             exchange.expectFollowUp();
             exchange.reply(OK, "{}");
@@ -64,7 +65,7 @@
 TEST_CASE("a far end that never follows its handshake up doesn't keep the listener")
 {
     const Address address{"127.0.0.1", 18472};
-    HttpListener listener(address, 8, [](HttpExchange &exchange) {
+    ThreadedHttpServer listener(address, 8, [](ServerExchange &exchange) {
         exchange.expectFollowUp();
         exchange.reply(OK, "{}");
     });
