One command line for both daemons; settings reference checked against the code

Change: daemoncommandline, CheckedTable::address(), readTextFile(); settings with role = "gateway" are checked by both daemons; correctness_settings_reference compares the page with the keys that the parsers name.

--- a/src/checkedtable.cpp
+++ b/src/checkedtable.cpp
@@ -40,6 +40,21 @@
     return m_table->get(key);
 }
 
+Address CheckedTable::address(const std::string &key)
+{
+    const std::string value = text(key);
+    try {
+        return addressFromString(value);
+    } catch (const UserError &error) {
+        fail(key, error.what());
+    }
+}
+
+Address CheckedTable::address(const std::string &key, const Address &fallback)
+{
+    return find(key) ? address(key) : fallback;
+}
+
 bool CheckedTable::has(const std::string &key) const
 {
     return m_table->contains(key);
@@ -208,7 +223,7 @@
     }
 }
 
-toml::table parseTomlFile(const std::string &fileName)
+std::string readTextFile(const std::string &fileName)
 {
     std::ifstream in(fileName);
     if (!in) {
@@ -216,7 +231,12 @@
     }
     std::stringstream text;
     text << in.rdbuf();
-    return parseToml(text.str(), fileName);
+    return text.str();
+}
+
+toml::table parseTomlFile(const std::string &fileName)
+{
+    return parseToml(readTextFile(fileName), fileName);
 }
 
 }
--- a/src/checkedtable.h
+++ b/src/checkedtable.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "address.h"
 #include "timepoint.h"
 
 #include <set>
@@ -40,6 +41,9 @@
     /** An integer key in milliseconds. */
     Duration span(const std::string &key, std::int64_t leastMs, std::int64_t mostMs, std::int64_t fallbackMs);
     std::vector<std::string> texts(const std::string &key);
+    /** An IP address with a port, written HOST:PORT. */
+    Address address(const std::string &key);
+    Address address(const std::string &key, const Address &fallback);
 
     bool has(const std::string &key) const;
     /** A sub-table; an empty one when the key is absent. */
@@ -67,6 +71,9 @@
 /** Parses TOML text. Throws UserError with file and line. */
 toml::table parseToml(const std::string &text, const std::string &fileName);
 
+/** Reads a whole file. Throws UserError when it can't be read. */
+std::string readTextFile(const std::string &fileName);
+
 /** Reads and parses a TOML file. Throws UserError when it can't be read or parsed. */
 toml::table parseTomlFile(const std::string &fileName);
 
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -4,10 +4,6 @@
 #include "gatewaysettings.h"
 
 #include "checkedtable.h"
-#include "errors.h"
-
-#include <fstream>
-#include <sstream>
 
 namespace Cyclamenturn
 {
@@ -15,21 +11,13 @@
 namespace
 {
 
+const std::string GATEWAY_ROLE = "gateway";
 constexpr int DEFAULT_METRICS_PORT = 9102;
 constexpr std::int64_t MOST_MS = 3600000;
 constexpr std::int64_t DEFAULT_GRACE_MS = 8000;
 /** Well below the two seconds after which a leaving endpoint must get no more work, with time for a slow answer. */
 constexpr std::int64_t DEFAULT_LIST_INTERVAL_MS = 1200;
 
-Address readAddress(CheckedTable &table, const std::string &key)
-{
-    try {
-        return addressFromString(table.text(key));
-    } catch (const UserError &error) {
-        table.fail(key, error.what());
-    }
-}
-
 PlacementRule readRule(CheckedTable &table)
 {
     const std::string name
@@ -96,13 +84,14 @@
     const toml::table document = parseToml(text, fileName);
     CheckedTable root(document, fileName, "");
     GatewaySettings out;
+    root.choice("role", {GATEWAY_ROLE}, GATEWAY_ROLE);
     out.name = root.text("name");
     out.failureDomain = root.text("failure_domain");
-    out.callers = readAddress(root, "callers");
-    out.readiness = readAddress(root, "readiness");
-    out.metrics = root.has("metrics") ? readAddress(root, "metrics") : Address{out.callers.host, DEFAULT_METRICS_PORT};
-    out.peers = readAddress(root, "peers");
-    out.store = readAddress(root, "store");
+    out.callers = root.address("callers");
+    out.readiness = root.address("readiness");
+    out.metrics = root.address("metrics", {out.callers.host, DEFAULT_METRICS_PORT});
+    out.peers = root.address("peers");
+    out.store = root.address("store");
     out.stopGrace = Duration(static_cast<std::int64_t>(
         root.number("stop_grace_s", 0.1, 3600, DEFAULT_GRACE_MS / 1000.0) * MICROSECONDS_PER_SECOND));
     out.assumedGateways = static_cast<int>(root.integer("assumed_gateways", 1, 100000, out.assumedGateways));
@@ -114,15 +103,15 @@
     return out;
 }
 
+bool isGatewaySettings(const std::string &text, const std::string &fileName)
+{
+    const toml::table document = parseToml(text, fileName);
+    return document["role"].value_or(std::string()) == GATEWAY_ROLE;
+}
+
 GatewaySettings readGatewaySettings(const std::string &fileName)
 {
-    std::ifstream in(fileName);
-    if (!in) {
-        throw UserError(fileName + ": can't be read; check the path and its permissions");
-    }
-    std::stringstream text;
-    text << in.rdbuf();
-    return parseGatewaySettings(text.str(), fileName);
+    return parseGatewaySettings(readTextFile(fileName), fileName);
 }
 
 }
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -40,6 +40,9 @@
 /** Reads a settings file. Throws UserError with file, line, key and what is allowed. */
 GatewaySettings readGatewaySettings(const std::string &fileName);
 
+/** Whether the TOML text says that it is for a gateway. Throws UserError when it isn't TOML. */
+bool isGatewaySettings(const std::string &text, const std::string &fileName);
+
 /** Reads settings out of TOML text; `fileName` is used in messages only. */
 GatewaySettings parseGatewaySettings(const std::string &text, const std::string &fileName);
 
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -6,9 +6,6 @@
 #include "checkedtable.h"
 #include "errors.h"
 
-#include <fstream>
-#include <sstream>
-
 namespace Cyclamenturn
 {
 
@@ -18,16 +15,6 @@
 constexpr int DEFAULT_THREADS = 512;
 constexpr int MOST_THREADS = 4096;
 
-Address readAddress(CheckedTable &table, const std::string &key)
-{
-    const std::string text = table.text(key);
-    try {
-        return addressFromString(text);
-    } catch (const UserError &error) {
-        table.fail(key, error.what());
-    }
-}
-
 ChoiceRule readChoice(CheckedTable &table)
 {
     const std::string name
@@ -56,7 +43,7 @@
 {
     settings.endpoint = table.text("endpoint");
     settings.service = table.text("service");
-    settings.endpointAddress = readAddress(table, "address");
+    settings.endpointAddress = table.address("address");
     table.finish();
 }
 
@@ -71,11 +58,11 @@
     settings.name = root.text("name");
     settings.vm = root.text("vm");
     settings.failureDomain = root.text("failure_domain");
-    settings.listen = readAddress(root, "listen");
-    settings.advertised = root.has("advertised") ? readAddress(root, "advertised") : settings.listen;
-    settings.store = readAddress(root, "store");
+    settings.listen = root.address("listen");
+    settings.advertised = root.address("advertised", settings.listen);
+    settings.store = root.address("store");
     if (root.has("vm_list")) {
-        settings.vmList = readAddress(root, "vm_list");
+        settings.vmList = root.address("vm_list");
     }
     for (const auto &seed : root.texts("seeds")) {
         try {
@@ -96,13 +83,7 @@
 
 Settings readSettings(const std::string &fileName)
 {
-    std::ifstream in(fileName);
-    if (!in) {
-        throw UserError(fileName + ": can't be read; check the path and its permissions");
-    }
-    std::stringstream text;
-    text << in.rdbuf();
-    return parseSettings(text.str(), fileName);
+    return parseSettings(readTextFile(fileName), fileName);
 }
 
 }
--- /dev/null
+++ b/test/correctness/settings_reference.cpp
@@ -0,0 +1,146 @@
+/** \file
+ * docs/operations/settings.md lists each key that the code reads, and no other.
+ */
+#include "checkedtable.h"
+#include "errors.h"
+#include "fleetconfiguration.h"
+#include "gateway/gatewaysettings.h"
+#include "settings.h"
+
+#include <catch2/catch.hpp>
+#include <functional>
+#include <regex>
+#include <set>
+
+using namespace Cyclamenturn;
+
+namespace
+{
+
+using Keys = std::set<std::string>;
+using Parser = std::function<void(const std::string &)>;
+
+const std::string GATEWAY = R"(name = "g"
+failure_domain = "d"
+callers = "10.0.0.1:80"
+readiness = "10.0.0.1:81"
+peers = "10.0.0.1:82"
+store = "10.0.0.2:90"
+)";
+
+const std::string AGENT = R"(role = "agent"
+name = "a"
+vm = "v"
+failure_domain = "d"
+listen = "10.0.0.1:80"
+store = "10.0.0.2:90"
+vm_list = "10.0.0.2:91"
+fleet_key_file = "key"
+agent = { endpoint = "e", service = "s", address = "10.0.0.1:81" }
+)";
+
+/** The part of the page under a heading that begins with `heading`. */
+std::string section(const std::string &heading)
+{
+    static const std::string page = readTextFile(std::string(SOURCE_DIRECTORY) + "/docs/operations/settings.md");
+    const auto begin = page.find("\n## " + heading);
+    REQUIRE(begin != std::string::npos);
+    const auto end = page.find("\n## ", begin + 1);
+    return page.substr(begin, end == std::string::npos ? end : end - begin);
+}
+
+/** Keys in the first column of the section's table; a `[table]` in a row goes before that row's keys. */
+Keys documentedKeys(const std::string &heading)
+{
+    static const std::regex WORD("`([^`]+)`");
+    Keys out;
+    std::istringstream lines(section(heading));
+    for (std::string line; std::getline(lines, line);) {
+        if (line.rfind("| `", 0) != 0) {
+            continue;
+        }
+        const std::string cell = line.substr(1, line.find(" | ", 2) - 1);
+        std::string table;
+        for (std::sregex_iterator it(cell.begin(), cell.end(), WORD), end; it != end; ++it) {
+            const std::string word = (*it)[1];
+            if (word.front() == '[') {
+                table = word.substr(1, word.size() - 2) + ".";
+            } else {
+                out.insert(table + word);
+            }
+        }
+    }
+    return out;
+}
+
+/** The keys of one table, by the message for a key that no table has. */
+Keys keysOf(const Parser &parse, const std::string &text, const std::string &table)
+{
+    std::string message;
+    try {
+        parse(text);
+    } catch (const UserError &error) {
+        message = error.what();
+    }
+    const std::string mark = "known here: ";
+    const auto begin = message.find(mark);
+    CAPTURE(text, message);
+    REQUIRE(begin != std::string::npos);
+    Keys out;
+    std::istringstream words(message.substr(begin + mark.size()));
+    for (std::string word; words >> word;) {
+        out.insert(table + word.substr(0, word.find(',')));
+    }
+    return out;
+}
+
+/** The keys of the document's root and of each named table in it. */
+Keys allKeys(const Parser &parse, const std::string &document, const std::vector<std::string> &tables)
+{
+    Keys out = keysOf(parse, "odd_key = 1\n" + document, "");
+    for (const auto &table : tables) {
+        out.erase(table);
+        const std::string header = "[" + table + "]";
+        const Keys inTable = keysOf(parse, document + "\n" + header + "\nodd_key = 1\n", table + ".");
+        out.insert(inTable.begin(), inTable.end());
+    }
+    return out;
+}
+
+}
+
+TEST_CASE("the page lists the gateway's settings as the code reads them")
+{
+    const Parser parse = [](const std::string &text) {
+        parseGatewaySettings(text, "g.toml");
+    };
+    CHECK(documentedKeys("The gateway's settings") == allKeys(parse, GATEWAY, {"retries", "placement", "overload"}));
+}
+
+TEST_CASE("the page lists a process's settings as the code reads them")
+{
+    const Parser parse = [](const std::string &text) {
+        parseSettings(text, "a.toml");
+    };
+    Keys known = allKeys(parse, AGENT, {"policy"});
+    known.erase("agent");
+    std::string withOddAgentKey = AGENT;
+    withOddAgentKey.replace(withOddAgentKey.find("{ endpoint"), 1, "{ odd_key = 1,");
+    const Keys ofAgent = keysOf(parse, withOddAgentKey, "agent.");
+    known.insert(ofAgent.begin(), ofAgent.end());
+    CHECK(documentedKeys("A process") == known);
+}
+
+TEST_CASE("the page lists the limits of the configuration document as the code reads them")
+{
+    const Parser parse = [](const std::string &text) {
+        FleetConfiguration::parse(text, "f.toml", 1);
+    };
+    Keys documented;
+    for (const auto &key : documentedKeys("The configuration document")) {
+        if (key.rfind("limits.", 0) == 0) {
+            documented.insert(key);
+        }
+    }
+    CHECK(documented == keysOf(parse, "[fleet]\nname = \"f\"\n[limits]\nodd_key = 1\n", "limits."));
+}
--- a/test/error/gatewayfleet.py
+++ b/test/error/gatewayfleet.py
@@ -179,7 +179,7 @@
         self.directory = tempfile.TemporaryDirectory()
         self.settings = os.path.join(self.directory.name, "gateway.toml")
         with open(self.settings, "w", encoding="utf-8") as out:
-            out.write(f'name = "{name}"\nfailure_domain = "z"\ncallers = "127.0.0.1:{self.callers}"\n'
+            out.write(f'role = "gateway"\nname = "{name}"\nfailure_domain = "z"\ncallers = "127.0.0.1:{self.callers}"\n'
                       f'readiness = "127.0.0.1:{self.ready}"\nmetrics = "127.0.0.1:{self.metrics}"\n'
                       f'peers = "127.0.0.1:{free_port()}"\nstore = "127.0.0.1:{store.server.port}"\n'
                       f'stop_grace_s = {grace_s}\nlist_interval_ms = 100\n[retries]\nfleet_slack = 1000\n')
--- a/test/error/processes_gateway.py
+++ b/test/error/processes_gateway.py
@@ -270,6 +270,21 @@
         assert fleet.gateway.call("GET", "/plain/x")[0] == 200
 
 
+def both_daemons_check_gateway_settings():
+    with Fleet() as fleet:
+        for program in ("cyclamenturnd", "cyclamenturn-gatewayd"):
+            command = [os.path.join(BUILD, program), "--check-config", "--config", fleet.gateway.settings]
+            assert subprocess.run(command, check=False).returncode == 0
+        with open(fleet.gateway.settings, "r+", encoding="utf-8") as settings:
+            text = settings.read()
+            settings.seek(0)
+            settings.write('odd = 1\n' + text)
+        for program in ("cyclamenturnd", "cyclamenturn-gatewayd"):
+            command = [os.path.join(BUILD, program), "--check-config", "--config", fleet.gateway.settings]
+            wrong = subprocess.run(command, check=False, capture_output=True, text=True)
+            assert wrong.returncode == 2 and ":1: key 'odd': unknown key" in wrong.stderr, wrong.stderr
+
+
 def metrics_and_log_lead_from_a_request_to_its_cause():
     with Fleet() as fleet:
         assert fleet.gateway.call("GET", "/plain/x", X_Attempt_Id="abc", Authorization="Bearer none")[0] == 401
--- a/tools/cyclamenturn-gatewayd.cpp
+++ b/tools/cyclamenturn-gatewayd.cpp
@@ -2,6 +2,7 @@
  * The gateway daemon: takes callers' requests on the platform and carries them to endpoints.
  */
 #include "clock.h"
+#include "daemoncommandline.h"
 #include "errors.h"
 #include "eventlog.h"
 #include "gateway/gateway.h"
@@ -9,11 +10,8 @@
 #include "storedocuments.h"
 
 #include <csignal>
-#include <cstdlib>
 #include <fstream>
-#include <getopt.h>
 #include <iostream>
-#include <optional>
 
 using namespace Cyclamenturn;
 
@@ -62,46 +60,6 @@
     2   wrong command line or settings
 )";
 
-struct CommandLine
-{
-    std::string settingsFile;
-    bool check = false;
-};
-
-std::optional<CommandLine> parseCommandLine(int argc, char **argv)
-{
-    static const option OPTIONS[]
-        = {{"config", required_argument, nullptr, 'c'}, {"check-config", no_argument, nullptr, 't'},
-            {"help", no_argument, nullptr, 'h'}, {"version", no_argument, nullptr, 'V'}, {nullptr, 0, nullptr, 0}};
-    CommandLine out;
-    if (const char *file = std::getenv(SETTINGS_VARIABLE)) {
-        out.settingsFile = file;
-    }
-    int choice = 0;
-    while ((choice = getopt_long(argc, argv, "c:thV", OPTIONS, nullptr)) != -1) {
-        switch (choice) {
-        case 'c':
-            out.settingsFile = optarg;
-            break;
-        case 't':
-            out.check = true;
-            break;
-        case 'h':
-            std::cout << HELP;
-            return std::nullopt;
-        case 'V':
-            std::cout << "cyclamenturn-gatewayd " << CYCLAMENTURN_VERSION << "\n";
-            return std::nullopt;
-        default:
-            throw UserError("see cyclamenturn-gatewayd --help");
-        }
-    }
-    if (out.settingsFile.empty()) {
-        throw UserError("--config FILE is needed; see cyclamenturn-gatewayd --help");
-    }
-    return out;
-}
-
 /** Notices changes of the settings file, with or without a signal. */
 class SettingsWatch
 {
@@ -177,12 +135,12 @@
 int main(int argc, char **argv)
 {
     try {
-        const auto commandLine = parseCommandLine(argc, argv);
+        const auto commandLine = parseDaemonCommandLine(argc, argv, {"cyclamenturn-gatewayd", HELP, SETTINGS_VARIABLE});
         if (!commandLine) {
             return 0;
         }
         const GatewaySettings settings = readGatewaySettings(commandLine->settingsFile);
-        if (commandLine->check) {
+        if (commandLine->isCheck) {
             return 0;
         }
         startLogging();
--- a/tools/cyclamenturnd.cpp
+++ b/tools/cyclamenturnd.cpp
@@ -4,15 +4,18 @@
 #include "agentcalls.h"
 #include "agentdoor.h"
 #include "agentloop.h"
+#include "checkedtable.h"
 #include "clock.h"
 #include "configurationservice.h"
 #include "controlpages.h"
+#include "daemoncommandline.h"
 #include "entrydoor.h"
 #include "entryloop.h"
 #include "errors.h"
 #include "eventlog.h"
 #include "evidencecollector.h"
 #include "fleetkey.h"
+#include "gateway/gatewaysettings.h"
 #include "journalwriter.h"
 #include "metrics.h"
 #include "servicedirectory.h"
@@ -21,7 +24,6 @@
 #include "vmlistclient.h"
 
 #include <csignal>
-#include <getopt.h>
 #include <iostream>
 #include <thread>
 
@@ -53,7 +55,7 @@
 const char *const HELP = R"(cyclamenturnd - router for language-model and plain-service traffic
 
 SYNOPSIS
-    cyclamenturnd --config FILE [--check]
+    cyclamenturnd --config FILE [--check-config]
 
 DESCRIPTION
     Runs one process of a fleet: an entry, which takes callers' requests, or an agent, which guards one endpoint. The
@@ -62,7 +64,7 @@
 
 OPTIONS
     -c, --config FILE   read settings from FILE
-    -t, --check         check the settings and exit
+    -t, --check-config  check the settings, of any role, and exit
     -h, --help          show this page
     -V, --version       show the version
 
@@ -188,40 +190,18 @@
     directory.stopAll();
 }
 
-struct CommandLine
+void run(const Settings &settings)
 {
-    std::string configFile;
-    bool check = false;
-};
-
-std::optional<CommandLine> parseCommandLine(int argc, char **argv)
-{
-    static const option OPTIONS[] = {{"config", required_argument, nullptr, 'c'}, {"check", no_argument, nullptr, 't'},
-        {"help", no_argument, nullptr, 'h'}, {"version", no_argument, nullptr, 'V'}, {nullptr, 0, nullptr, 0}};
-    CommandLine out;
-    int choice = 0;
-    while ((choice = getopt_long(argc, argv, "c:thV", OPTIONS, nullptr)) != -1) {
-        switch (choice) {
-        case 'c':
-            out.configFile = optarg;
-            break;
-        case 't':
-            out.check = true;
-            break;
-        case 'h':
-            std::cout << HELP;
-            return std::nullopt;
-        case 'V':
-            std::cout << "cyclamenturnd " << CYCLAMENTURN_VERSION << "\n";
-            return std::nullopt;
-        default:
-            throw UserError("see cyclamenturnd --help");
-        }
-    }
-    if (out.configFile.empty()) {
-        throw UserError("--config FILE is needed; see cyclamenturnd --help");
+    startLogging();
+    std::signal(SIGTERM, requestStop);
+    std::signal(SIGINT, requestStop);
+    std::signal(SIGPIPE, SIG_IGN);
+    if (settings.role == Role::Entry) {
+        runEntry(settings);
+    } else {
+        runAgent(settings);
     }
-    return out;
+    LogEvent("stopped").field("name", settings.name);
 }
 
 }
@@ -229,24 +209,22 @@
 int main(int argc, char **argv)
 {
     try {
-        const auto commandLine = parseCommandLine(argc, argv);
+        const auto commandLine = parseDaemonCommandLine(argc, argv, {"cyclamenturnd", HELP, ""});
         if (!commandLine) {
             return 0;
         }
-        const Settings settings = readSettings(commandLine->configFile);
-        if (commandLine->check) {
+        const std::string text = readTextFile(commandLine->settingsFile);
+        if (isGatewaySettings(text, commandLine->settingsFile)) {
+            parseGatewaySettings(text, commandLine->settingsFile);
+            if (!commandLine->isCheck) {
+                throw UserError("these are a gateway's settings: run cyclamenturn-gatewayd with them");
+            }
             return 0;
         }
-        startLogging();
-        std::signal(SIGTERM, requestStop);
-        std::signal(SIGINT, requestStop);
-        std::signal(SIGPIPE, SIG_IGN);
-        if (settings.role == Role::Entry) {
-            runEntry(settings);
-        } else {
-            runAgent(settings);
+        const Settings settings = parseSettings(text, commandLine->settingsFile);
+        if (!commandLine->isCheck) {
+            run(settings);
         }
-        LogEvent("stopped").field("name", settings.name);
         return 0;
     } catch (const UserError &error) {
         std::cerr << "cyclamenturnd: " << error.what() << "\n";
