One gateway's read of the endpoint list serves all; longest pause of a stream in the log

Ruled out: watching the registrations (each heartbeat ends a watch, 37 a second); stale reads, which may be seconds old and so too old for endpoints that leave. Change: EndpointList keeps the store's list with its changes of the last 4 s; a gateway that read it sends the changes and a hash over all entries to its live peers, who take it for a read of their own when their copy is then whole, and read for themselves otherwise. waitForListRead() spreads reads so that one comes first; interval 700 ms, spread up to 900 ms. News counts only from addresses of live peers and never puts an older list in force. Tests: endpointlist (merge, missed news, older news, cut and garbled bytes, size; fleets of 1 to 370 for 60 s, 20 seeds each, 5 % of the news lost, half of the fleet ending: under 8 reads a second, no copy older than 1.7 s). What is left of the calls: configuration watches and reads, registration.

--- /dev/null
+++ b/src/gateway/endpointlist.cpp
@@ -0,0 +1,203 @@
+/** \file
+ * The store's list of endpoints, its changes, and their form in datagrams.
+ */
+#include "endpointlist.h"
+
+#include "peerdatagram.h"
+#include "rendezvoushash.h"
+
+#include <sstream>
+
+namespace Cyclamenturn
+{
+
+namespace
+{
+
+constexpr std::size_t MOST_ITEMS = 255;
+
+void write(Poco::BinaryWriter &out, const EndpointRecord &record)
+{
+    out << record.id << record.service << record.address.host << static_cast<Poco::UInt16>(record.address.port)
+        << record.failureDomain << Poco::Int32(record.slots) << record.isLeaving << Poco::Int64(record.startedAtMs);
+}
+
+bool read(Poco::BinaryReader &in, EndpointRecord &record)
+{
+    Poco::UInt16 port = 0;
+    Poco::Int32 slots = 0;
+    Poco::Int64 startedAtMs = 0;
+    if (!readText(in, record.id) || !readText(in, record.service) || !readText(in, record.address.host)) {
+        return false;
+    }
+    in >> port;
+    if (!readText(in, record.failureDomain)) {
+        return false;
+    }
+    in >> slots >> record.isLeaving >> startedAtMs;
+    record.address.port = port;
+    record.slots = slots;
+    record.startedAtMs = startedAtMs;
+    return in.good();
+}
+
+std::uint64_t hashOfRecord(const EndpointRecord &record)
+{
+    std::ostringstream stream;
+    Poco::BinaryWriter out(stream, Poco::BinaryWriter::NETWORK_BYTE_ORDER);
+    write(out, record);
+    out.flush();
+    return contentHash(stream.str());
+}
+
+}
+
+std::uint64_t EndpointList::hashOf(const Entries &entries)
+{
+    std::uint64_t out = 0;
+    for (const auto &[id, entry] : entries) {
+        out ^= hashOfRecord(entry.record);
+    }
+    return out;
+}
+
+void EndpointList::noteRemovals(const Entries &next, TimePoint now)
+{
+    for (const auto &[id, entry] : m_entries) {
+        if (next.count(id) == 0) {
+            m_removed[id] = now;
+        }
+    }
+    for (auto it = m_removed.begin(); it != m_removed.end();) {
+        const bool isOver = now - it->second >= CHANGE_MEMORY || next.count(it->first) != 0;
+        it = isOver ? m_removed.erase(it) : std::next(it);
+    }
+}
+
+void EndpointList::replace(const std::vector<EndpointRecord> &list, std::uint64_t revision, TimePoint now)
+{
+    if (revision < m_revision) {
+        return;
+    }
+    Entries next;
+    for (const auto &record : list) {
+        const auto known = m_entries.find(record.id);
+        const bool isUnchanged = known != m_entries.end() && known->second.record == record;
+        next[record.id] = {record, isUnchanged ? known->second.changedAt : now};
+    }
+    noteRemovals(next, now);
+    m_entries = std::move(next);
+    m_revision = revision;
+}
+
+bool EndpointList::merge(const EndpointListNews &news, TimePoint now)
+{
+    if (news.revision < m_revision || m_revision == 0) {
+        return false;
+    }
+    Entries next = m_entries;
+    for (const auto &id : news.removed) {
+        next.erase(id);
+    }
+    for (const auto &record : news.changed) {
+        const auto known = next.find(record.id);
+        if (known == next.end() || !(known->second.record == record)) {
+            next[record.id] = {record, now};
+        }
+    }
+    if (hashOf(next) != news.hash) {
+        return false;
+    }
+    noteRemovals(next, now);
+    m_entries = std::move(next);
+    m_revision = news.revision;
+    return true;
+}
+
+EndpointListNews EndpointList::news(TimePoint now) const
+{
+    EndpointListNews out;
+    out.revision = m_revision;
+    out.hash = hashOf(m_entries);
+    for (const auto &[id, entry] : m_entries) {
+        if (now - entry.changedAt < CHANGE_MEMORY) {
+            out.changed.push_back(entry.record);
+        }
+    }
+    for (const auto &[id, removedAt] : m_removed) {
+        if (now - removedAt < CHANGE_MEMORY) {
+            out.removed.push_back(id);
+        }
+    }
+    return out;
+}
+
+std::vector<EndpointRecord> EndpointList::records() const
+{
+    std::vector<EndpointRecord> out;
+    out.reserve(m_entries.size());
+    for (const auto &[id, entry] : m_entries) {
+        out.push_back(entry.record);
+    }
+    return out;
+}
+
+std::optional<std::string> encodeListNews(const EndpointListNews &news)
+{
+    if (news.changed.size() > MOST_ITEMS || news.removed.size() > MOST_ITEMS) {
+        return std::nullopt;
+    }
+    std::ostringstream stream;
+    Poco::BinaryWriter out(stream, Poco::BinaryWriter::NETWORK_BYTE_ORDER);
+    out << static_cast<Poco::UInt8>(DatagramKind::EndpointListNews) << Poco::UInt64(news.revision)
+        << Poco::UInt64(news.hash) << static_cast<Poco::UInt8>(news.changed.size());
+    for (const auto &record : news.changed) {
+        write(out, record);
+    }
+    out << static_cast<Poco::UInt8>(news.removed.size());
+    for (const auto &id : news.removed) {
+        out << id;
+    }
+    out.flush();
+    std::string bytes = stream.str();
+    return bytes.size() > LARGEST_DATAGRAM ? std::nullopt : std::optional<std::string>(std::move(bytes));
+}
+
+std::optional<EndpointListNews> decodeListNews(const std::string &bytes)
+{
+    std::istringstream stream(bytes);
+    Poco::BinaryReader in(stream, Poco::BinaryReader::NETWORK_BYTE_ORDER);
+    Poco::UInt8 kind = 0;
+    Poco::UInt64 revision = 0;
+    Poco::UInt64 hash = 0;
+    Poco::UInt8 count = 0;
+    in >> kind >> revision >> hash >> count;
+    if (!in.good() || kind != static_cast<Poco::UInt8>(DatagramKind::EndpointListNews)) {
+        return std::nullopt;
+    }
+    EndpointListNews out;
+    out.revision = revision;
+    out.hash = hash;
+    for (int i = 0; i < count; ++i) {
+        EndpointRecord record;
+        if (!read(in, record)) {
+            return std::nullopt;
+        }
+        out.changed.push_back(std::move(record));
+    }
+    count = 0;
+    in >> count;
+    for (int i = 0; i < count; ++i) {
+        std::string id;
+        if (!readText(in, id)) {
+            return std::nullopt;
+        }
+        out.removed.push_back(std::move(id));
+    }
+    if (!in.good()) {
+        return std::nullopt;
+    }
+    return out;
+}
+
+}
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 
 #include "clock.h"
 #include "eventlog.h"
+#include "listreadplan.h"
 #include "requestflow.h"
 
 #include <algorithm>
@@ -45,11 +46,10 @@
           loop, settings.readiness, [this](const auto &connection, ReceivedRequest &) { handleReadiness(connection); })
     , m_metricsPage(
           loop, settings.metrics, [this](const auto &connection, ReceivedRequest &) { handleMetrics(connection); })
-    , m_store(loop, store, settings.store, settings.listInterval, *this)
+    , m_store(loop, store, settings.store, *this)
     , m_peers(settings.name)
     , m_peerLink(
-          loop, settings.peers, m_peers, [this] { return makeDigest(); },
-          [this](const PeerDigest &digest) { peerHeard(digest); })
+          loop, settings.peers, m_peers, [this] { return makeDigest(); }, *this)
     , m_registration(loop, store, settings.store, settings.name, settings.peers,
           [this](const Address &address) { m_peers.addContact(address, m_loop.now()); })
     , m_incarnation(static_cast<std::uint64_t>(currentTime().time_since_epoch().count()))
@@ -92,7 +92,7 @@
     return out;
 }
 
-void Gateway::peerHeard(const PeerDigest &digest)
+void Gateway::digestHeard(const PeerDigest &digest)
 {
     m_placement.split().setOthers(m_peers.demand());
     m_store.setHasPeers(true);
@@ -224,39 +224,71 @@
 }
 
 void Gateway::endpointsRead(const std::vector<EndpointRecord> &list, std::uint64_t revision)
+{
+    const TimePoint now = m_loop.now();
+    m_metrics.count("cyclamenturn_endpoint_lists", {{"from", "store"}});
+    m_list.replace(list, revision, now);
+    if (const auto news = encodeListNews(m_list.news(now))) {
+        m_peerLink.broadcast(*news);
+    }
+    believeList();
+}
+
+void Gateway::listNewsHeard(const EndpointListNews &news)
+{
+    if (!m_list.merge(news, m_loop.now())) {
+        m_metrics.count("cyclamenturn_endpoint_lists", {{"from", "peer_unusable"}});
+        return;
+    }
+    m_metrics.count("cyclamenturn_endpoint_lists", {{"from", "peer"}});
+    m_store.noteEndpointsReadElsewhere();
+    believeList();
+}
+
+Duration Gateway::listReadWait()
+{
+    return waitForListRead(m_settings.listInterval, static_cast<int>(m_peers.livePeers()) + 1, draw());
+}
+
+void Gateway::believeList()
 {
     const bool wasReady = isReady();
-    for (const auto &change : m_endpoints.apply(list, revision, m_loop.now())) {
-        const char *name = "endpoint_added";
+    for (const auto &change : m_endpoints.apply(m_list.records(), m_list.revision(), m_loop.now())) {
+        const std::string &id = change.record.id;
         switch (change.kind) {
         case EndpointChange::Kind::Added:
+            logChange("endpoint_added", change.record);
             break;
         case EndpointChange::Kind::Restarted:
-            name = "endpoint_restarted";
-            m_pool.dropIdle(change.record.id);
-            m_standings.erase(change.record.id);
+            logChange("endpoint_restarted", change.record);
+            m_pool.dropIdle(id);
+            m_standings.erase(id);
             break;
         case EndpointChange::Kind::Leaving:
-            name = "endpoint_leaving";
-            m_pool.dropIdle(change.record.id);
+            logChange("endpoint_leaving", change.record);
+            m_pool.dropIdle(id);
             break;
         case EndpointChange::Kind::Gone:
-            name = "endpoint_gone";
-            m_pool.dropIdle(change.record.id);
-            m_standings.erase(change.record.id);
+            logChange("endpoint_gone", change.record);
+            m_pool.dropIdle(id);
+            m_standings.erase(id);
             break;
         }
-        LogEvent(name)
-            .field("endpoint", change.record.id)
-            .field("service", change.record.service)
-            .field("address", toString(change.record.address))
-            .field("revision", static_cast<long long>(revision));
     }
     if (!wasReady && isReady()) {
         LogEvent("ready");
     }
 }
 
+void Gateway::logChange(const char *event, const EndpointRecord &record) const
+{
+    LogEvent(event)
+        .field("endpoint", record.id)
+        .field("service", record.service)
+        .field("address", toString(record.address))
+        .field("revision", static_cast<long long>(m_list.revision()));
+}
+
 void Gateway::endpointsReadFailed()
 {
     m_endpoints.noteReadFailed();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include "connectionpool.h"
 #include "crashquarantine.h"
 #include "endpointdirectory.h"
+#include "endpointlist.h"
 #include "endpointstanding.h"
 #include "estimatecorrection.h"
 #include "gatewaysettings.h"
@@ -32,7 +33,7 @@
 
 class RequestFlow;
 
-class Gateway : private StoreLinkListener
+class Gateway : private StoreLinkListener, private PeerLinkListener
 {
 public:
     Gateway(EventLoop &loop, const GatewaySettings &settings, const MessageCodec &messages, const StoreCodec &store);
@@ -122,12 +123,17 @@
     void configurationRead(RoutingConfigurationPtr configuration, std::uint64_t revision) override;
     void endpointsRead(const std::vector<EndpointRecord> &list, std::uint64_t revision) override;
     void endpointsReadFailed() override;
+    Duration listReadWait() override;
+    void digestHeard(const PeerDigest &digest) override;
+    void listNewsHeard(const EndpointListNews &news) override;
 
     void handleCaller(const HttpServerConnectionPtr &connection, ReceivedRequest request);
     void handleReadiness(const HttpServerConnectionPtr &connection);
     void handleMetrics(const HttpServerConnectionPtr &connection);
     PeerDigest makeDigest();
-    void peerHeard(const PeerDigest &digest);
+    /** Takes in the list in hand, which was read just now, here or elsewhere. */
+    void believeList();
+    void logChange(const char *event, const EndpointRecord &record) const;
     void housekeep();
     void stepStop();
     bool isReady() const;
@@ -137,6 +143,7 @@
     const MessageCodec &m_messages;
     RoutingConfigurationPtr m_configuration;
     TimePoint m_configurationReadAt;
+    EndpointList m_list;
     EndpointDirectory m_endpoints;
     /** By endpoint id; entries of endpoints that are gone are dropped. */
     std::unordered_map<std::string, EndpointStanding> m_standings;
--- a/src/gateway/peerdigest.cpp
+++ b/src/gateway/peerdigest.cpp
@@ -3,11 +3,9 @@
  */
 #include "peerdigest.h"
 
+#include "peerdatagram.h"
 #include "rendezvoushash.h"
 
-#include <Poco/BinaryReader.h>
-#include <Poco/BinaryWriter.h>
-
 #include <algorithm>
 #include <sstream>
 
@@ -17,23 +15,9 @@
 namespace
 {
 
-constexpr std::uint8_t FORMAT_VERSION = 1;
 /** Keeps a digest well within one packet. */
 constexpr std::size_t MOST_SHARES = 96;
 constexpr std::size_t MOST_SUSPICIONS = 8;
-constexpr std::size_t MOST_NAME_BYTES = 128;
-
-/** Reads a text whose length comes from outside; one that is too long ends the reading. */
-bool readText(Poco::BinaryReader &in, std::string &text)
-{
-    Poco::UInt32 size = 0;
-    in.read7BitEncoded(size);
-    if (!in.good() || size > MOST_NAME_BYTES) {
-        return false;
-    }
-    in.readRaw(size, text);
-    return in.good();
-}
 
 }
 
@@ -46,9 +30,9 @@
 {
     std::ostringstream stream;
     Poco::BinaryWriter out(stream, Poco::BinaryWriter::NETWORK_BYTE_ORDER);
-    out << FORMAT_VERSION << digest.name << Poco::UInt64(digest.incarnation) << Poco::UInt32(digest.sequence)
-        << Poco::UInt64(digest.configurationRevision) << static_cast<float>(digest.demand.prefillMsPerSecond)
-        << static_cast<float>(digest.demand.longAnswers);
+    out << static_cast<Poco::UInt8>(DatagramKind::Digest) << digest.name << Poco::UInt64(digest.incarnation)
+        << Poco::UInt32(digest.sequence) << Poco::UInt64(digest.configurationRevision)
+        << static_cast<float>(digest.demand.prefillMsPerSecond) << static_cast<float>(digest.demand.longAnswers);
     const std::size_t shares = std::min(digest.shares.size(), MOST_SHARES);
     out << static_cast<Poco::UInt8>(shares);
     for (std::size_t i = 0; i < shares; ++i) {
@@ -73,9 +57,9 @@
     std::istringstream stream(bytes);
     Poco::BinaryReader in(stream, Poco::BinaryReader::NETWORK_BYTE_ORDER);
     PeerDigest out;
-    Poco::UInt8 version = 0;
-    in >> version;
-    if (version != FORMAT_VERSION) {
+    Poco::UInt8 kind = 0;
+    in >> kind;
+    if (kind != static_cast<Poco::UInt8>(DatagramKind::Digest)) {
         return std::nullopt;
     }
     Poco::UInt64 incarnation = 0;
--- a/src/gateway/peerlink.cpp
+++ b/src/gateway/peerlink.cpp
@@ -4,6 +4,7 @@
 #include "peerlink.h"
 
 #include "eventlog.h"
+#include "peerdatagram.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/PollSet.h>
@@ -16,20 +17,19 @@
 namespace
 {
 
-constexpr int LARGEST_DATAGRAM = 2048;
 /** Datagrams read in one turn, so that a flood doesn't starve callers. */
 constexpr int MOST_READS = 32;
 
 }
 
 PeerLink::PeerLink(EventLoop &loop, const Address &own, PeerView &view, std::function<PeerDigest()> makeDigest,
-    std::function<void(const PeerDigest &)> heard)
+    PeerLinkListener &listener)
     : m_loop(loop)
     , m_socket(Poco::Net::SocketAddress(own.host, static_cast<Poco::UInt16>(own.port)), true)
     , m_own(own)
     , m_view(view)
     , m_makeDigest(std::move(makeDigest))
-    , m_heard(std::move(heard))
+    , m_listener(listener)
 {
     m_socket.setBlocking(false);
     m_loop.watch(m_socket, Poco::Net::PollSet::POLL_READ, this);
@@ -56,20 +56,44 @@
             if (count <= 0) {
                 return;
             }
-            const auto digest = decodeDigest(std::string(bytes, static_cast<std::size_t>(count)), m_loop.now());
-            if (!digest) {
-                continue;
-            }
-            if (m_view.apply(*digest, {sender.host().toString(), sender.port()}, m_loop.now())) {
-                LogEvent("peer_found").field("peer", digest->name).field("address", sender.toString());
-            }
-            m_heard(*digest);
+            handle(std::string(bytes, static_cast<std::size_t>(count)), {sender.host().toString(), sender.port()});
         } catch (const Poco::Exception &) { // an earlier datagram was refused; the peer's silence tells the rest
             return;
         }
     }
 }
 
+void PeerLink::handle(const std::string &bytes, const Address &sender)
+{
+    const TimePoint now = m_loop.now();
+    if (const auto digest = decodeDigest(bytes, now)) {
+        if (m_view.apply(*digest, sender, now)) {
+            LogEvent("peer_found").field("peer", digest->name).field("address", toString(sender));
+        }
+        m_listener.digestHeard(*digest);
+    } else if (const auto news = decodeListNews(bytes)) {
+        if (m_view.isLive(sender)) {
+            m_listener.listNewsHeard(*news);
+        }
+    }
+}
+
+void PeerLink::send(const std::string &bytes, const Address &to)
+{
+    try {
+        m_socket.sendTo(bytes.data(), static_cast<int>(bytes.size()),
+            Poco::Net::SocketAddress(to.host, static_cast<Poco::UInt16>(to.port)));
+    } catch (const Poco::Exception &) { // datagrams may be lost anyway; the next round sends newer figures
+    }
+}
+
+void PeerLink::broadcast(const std::string &bytes)
+{
+    for (const Address &address : m_view.liveAddresses()) {
+        send(bytes, address);
+    }
+}
+
 void PeerLink::sendRound()
 {
     for (const auto &name : m_view.expire(m_loop.now())) {
@@ -80,13 +104,7 @@
     if (count > 0) {
         const std::string bytes = encodeDigest(m_makeDigest(), m_loop.now());
         for (std::size_t i = 0; i < count; ++i) {
-            const Address &to = addresses[(m_cursor + i) % addresses.size()];
-            try {
-                m_socket.sendTo(bytes.data(), static_cast<int>(bytes.size()),
-                    Poco::Net::SocketAddress(to.host, static_cast<Poco::UInt16>(to.port)));
-            } catch (const Poco::Exception &) { // datagrams may be lost anyway; the next round sends newer figures
-                continue;
-            }
+            send(bytes, addresses[(m_cursor + i) % addresses.size()]);
         }
         m_cursor = (m_cursor + count) % addresses.size();
     }
--- a/src/gateway/peerlink.h
+++ b/src/gateway/peerlink.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "endpointlist.h"
 #include "peerview.h"
 
 #include "transport/eventloop.h"
@@ -15,6 +16,15 @@
 namespace Cyclamenturn
 {
 
+/** What a PeerLink hears. */
+class PeerLinkListener
+{
+public:
+    virtual ~PeerLinkListener() = default;
+    virtual void digestHeard(const PeerDigest &digest) = 0;
+    virtual void listNewsHeard(const EndpointListNews &news) = 0;
+};
+
 class PeerLink : private SocketHandler
 {
 public:
@@ -23,23 +33,27 @@
     /** Digests sent in a round, so that the traffic of one gateway doesn't grow with the fleet. */
     static constexpr std::size_t DIGESTS_PER_ROUND = 6;
 
-    /** `makeDigest` returns this process's figures; `heard` is called for each digest of a peer. */
+    /** `makeDigest` returns this process's figures. */
     PeerLink(EventLoop &loop, const Address &own, PeerView &view, std::function<PeerDigest()> makeDigest,
-        std::function<void(const PeerDigest &)> heard);
+        PeerLinkListener &listener);
     ~PeerLink() override;
 
     void start();
+    /** Sends to every live peer at once. */
+    void broadcast(const std::string &bytes);
 
 private:
     void socketReady(int modes) override;
+    void handle(const std::string &bytes, const Address &sender);
     void sendRound();
+    void send(const std::string &bytes, const Address &to);
 
     EventLoop &m_loop;
     Poco::Net::DatagramSocket m_socket;
     Address m_own;
     PeerView &m_view;
     std::function<PeerDigest()> m_makeDigest;
-    std::function<void(const PeerDigest &)> m_heard;
+    PeerLinkListener &m_listener;
     /** Where the next round starts in the list of addresses. */
     std::size_t m_cursor = 0;
     EventLoop::Timer m_timer;
--- a/src/gateway/peerview.cpp
+++ b/src/gateway/peerview.cpp
@@ -3,6 +3,7 @@
  */
 #include "peerview.h"
 
+#include <algorithm>
 #include <set>
 
 namespace Cyclamenturn
@@ -49,12 +50,9 @@
 
 void PeerView::addContact(const Address &address, TimePoint now)
 {
-    for (const auto &[name, peer] : m_peers) {
-        if (peer.address == address) {
-            return;
-        }
+    if (!isLive(address)) {
+        m_contacts.emplace(address, now);
     }
-    m_contacts.emplace(address, now);
 }
 
 std::vector<std::string> PeerView::expire(TimePoint now)
@@ -76,12 +74,25 @@
     return gone;
 }
 
-std::vector<Address> PeerView::addresses() const
+std::vector<Address> PeerView::liveAddresses() const
 {
-    std::set<Address> out;
+    std::vector<Address> out;
     for (const auto &[name, peer] : m_peers) {
-        out.insert(peer.address);
+        out.push_back(peer.address);
     }
+    return out;
+}
+
+bool PeerView::isLive(const Address &address) const
+{
+    return std::any_of(
+        m_peers.begin(), m_peers.end(), [&address](const auto &item) { return item.second.address == address; });
+}
+
+std::vector<Address> PeerView::addresses() const
+{
+    const auto live = liveAddresses();
+    std::set<Address> out(live.begin(), live.end());
     for (const auto &[address, since] : m_contacts) {
         out.insert(address);
     }
--- a/src/gateway/peerview.h
+++ b/src/gateway/peerview.h
@@ -45,6 +45,9 @@
     }
     /** All addresses worth sending to, in a fixed order. */
     std::vector<Address> addresses() const;
+    std::vector<Address> liveAddresses() const;
+    /** Whether a live peer sends from that address. */
+    bool isLive(const Address &address) const;
     PeerLoad loadAt(std::uint32_t endpoint) const;
     WorkloadDemand demand() const;
 
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -289,9 +289,14 @@
     if (!id.empty()) {
         m_lastEventId = id;
     }
+    const TimePoint now = m_gateway.loop().now();
+    if (m_eventsDelivered > 0) {
+        m_longestPause = std::max(m_longestPause, Duration(now - m_lastEventAt));
+    }
+    m_lastEventAt = now;
     if (!m_headDelivered) {
         m_headDelivered = true;
-        m_firstEventAfter = m_gateway.loop().now() - m_request.arrivedAt;
+        m_firstEventAfter = now - m_request.arrivedAt;
         HttpResponseHead head{m_answerHead.status, m_answerHead.reason, endToEndFields(m_answerHead.fields)};
         m_caller->beginStream(std::move(head));
         m_gateway.metrics().observe(
@@ -512,6 +517,7 @@
             .field("sends", m_sends)
             .field("events", m_eventsDelivered)
             .field("first_event_ms", toMilliseconds(m_firstEventAfter))
+            .field("longest_pause_ms", toMilliseconds(m_longestPause))
             .field("expected_ms", static_cast<long long>(m_placement.expectedMs))
             .field("estimate_factor_pct", static_cast<long long>(100 * m_gateway.estimates().factor(now)))
             .field("prefill_tokens", m_placement.prefillTokens)
--- a/src/gateway/requestflow.h
+++ b/src/gateway/requestflow.h
@@ -102,6 +102,9 @@
     int m_eventsDelivered = 0;
     /** Time from the request's arrival to its first event; 0 while there is none. */
     Duration m_firstEventAfter{};
+    /** When the last event was passed on, and the longest time between two. */
+    TimePoint m_lastEventAt;
+    Duration m_longestPause{};
     bool m_headDelivered = false;
     /** Why a stream was cut after events had been delivered. */
     const char *m_cutReason = "none";
--- a/src/gateway/storelink.cpp
+++ b/src/gateway/storelink.cpp
@@ -34,12 +34,10 @@
 
 }
 
-StoreLink::StoreLink(EventLoop &loop, const StoreCodec &codec, const Address &address, Duration listInterval,
-    StoreLinkListener &listener)
+StoreLink::StoreLink(EventLoop &loop, const StoreCodec &codec, const Address &address, StoreLinkListener &listener)
     : m_loop(loop)
     , m_codec(codec)
     , m_address(address)
-    , m_listInterval(listInterval)
     , m_listener(listener)
 {
     setAddress(address);
@@ -179,6 +177,7 @@
 
 void StoreLink::readEndpoints()
 {
+    m_isListReadPending = true;
     const std::string after = m_pages.empty() ? std::string() : m_pages.back().key;
     begin(m_endpoints, m_codec.listEndpointsCall(after), READ_TIMEOUT, [this](int status, const std::string &body) {
         if (status != OK) {
@@ -206,11 +205,25 @@
     });
 }
 
+void StoreLink::scheduleEndpoints(Duration wait)
+{
+    m_loop.cancel(m_endpoints.timer);
+    m_endpoints.timer = m_loop.callAfter(wait, [this] { readEndpoints(); });
+    m_isListReadPending = false;
+}
+
+void StoreLink::noteEndpointsReadElsewhere()
+{
+    if (!m_isListReadPending) {
+        scheduleEndpoints(m_listener.listReadWait());
+    }
+}
+
 void StoreLink::failEndpoints()
 {
     m_pages.clear();
     m_listener.endpointsReadFailed();
-    m_endpoints.timer = m_loop.callAfter(RETRY_WAIT, [this] { readEndpoints(); });
+    scheduleEndpoints(RETRY_WAIT);
 }
 
 void StoreLink::finishEndpoints()
@@ -226,7 +239,7 @@
     m_decoded = std::move(present);
     m_pages.clear();
     m_listener.endpointsRead(list, m_listRevision);
-    m_endpoints.timer = m_loop.callAfter(m_listInterval, [this] { readEndpoints(); });
+    scheduleEndpoints(m_listener.listReadWait());
 }
 
 const EndpointRecord *StoreLink::decodeCached(const StoreItem &item)
--- a/src/gateway/storelink.h
+++ b/src/gateway/storelink.h
@@ -26,19 +26,22 @@
     virtual void configurationRead(RoutingConfigurationPtr configuration, std::uint64_t revision) = 0;
     virtual void endpointsRead(const std::vector<EndpointRecord> &list, std::uint64_t revision) = 0;
     virtual void endpointsReadFailed() = 0;
+    /** How long to wait from one read of the list to the next. */
+    virtual Duration listReadWait() = 0;
 };
 
 class StoreLink
 {
 public:
-    StoreLink(EventLoop &loop, const StoreCodec &codec, const Address &address, Duration listInterval,
-        StoreLinkListener &listener);
+    StoreLink(EventLoop &loop, const StoreCodec &codec, const Address &address, StoreLinkListener &listener);
     ~StoreLink();
 
     void start();
     void setAddress(const Address &address);
     /** Another process has that revision of the configuration: reads it if the one in hand is older. */
     void noteConfigurationElsewhere(std::uint64_t revision);
+    /** Another process has read the list of endpoints: this one's read can wait. */
+    void noteEndpointsReadElsewhere();
     /** Whether other gateways would tell of a change that this process's watch misses. */
     void setHasPeers(bool hasPeers)
     {
@@ -68,6 +71,7 @@
     void handleConfigurationItems(const std::vector<StoreItem> &items);
     void retryConfiguration(Duration wait);
     void readEndpoints();
+    void scheduleEndpoints(Duration wait);
     void finishEndpoints();
     void failEndpoints();
     const EndpointRecord *decodeCached(const StoreItem &item);
@@ -78,7 +82,6 @@
     EventLoop &m_loop;
     const StoreCodec &m_codec;
     Address m_address;
-    Duration m_listInterval;
     StoreLinkListener &m_listener;
     Duty m_configuration{"configuration", nullptr};
     Duty m_endpoints{"endpoints", nullptr};
@@ -91,6 +94,8 @@
     bool m_watching = false;
     /** Whether other gateways have been heard, so that their digests tell of changes. */
     bool m_hasPeers = false;
+    /** A read of the list is on its way. */
+    bool m_isListReadPending = false;
     /** Pages of the list being read. */
     std::vector<StoreItem> m_pages;
     /** Store revision of the first page: the list holds everything up to it. */
--- /dev/null
+++ b/test/correctness/endpointlist.cpp
@@ -0,0 +1,250 @@
+/** \file
+ * One gateway's read of the endpoint list serves the others: what news carries, when a copy is whole, and how few reads
+ * keep a whole fleet's copies fresh.
+ */
+#include "gateway/endpointlist.h"
+#include "gateway/listreadplan.h"
+
+#include <catch2/catch.hpp>
+#include <queue>
+#include <random>
+
+using namespace Cyclamenturn;
+
+namespace
+{
+
+const TimePoint START = timeFromMilliseconds(100000);
+
+EndpointRecord endpoint(int number, bool isLeaving = false)
+{
+    EndpointRecord out;
+    out.id = "e" + std::to_string(number);
+    out.service = "model";
+    out.address = {"10.0.0." + std::to_string(number), 80};
+    out.failureDomain = "d1";
+    out.slots = 64;
+    out.isLeaving = isLeaving;
+    out.startedAtMs = 1700000000000 + number;
+    return out;
+}
+
+std::vector<EndpointRecord> endpoints(int count)
+{
+    std::vector<EndpointRecord> out;
+    for (int i = 0; i < count; ++i) {
+        out.push_back(endpoint(i));
+    }
+    return out;
+}
+
+EndpointListNews sent(const EndpointList &list, TimePoint now)
+{
+    const auto bytes = encodeListNews(list.news(now));
+    REQUIRE(bytes);
+    const auto news = decodeListNews(*bytes);
+    REQUIRE(news);
+    return *news;
+}
+
+}
+
+TEST_CASE("news of additions, changes and removals makes another copy whole")
+{
+    EndpointList reader;
+    EndpointList other;
+    reader.replace(endpoints(5), 10, START);
+    other.replace(endpoints(5), 10, START);
+    auto next = endpoints(6);
+    next.erase(next.begin());
+    next[0].isLeaving = true;
+    const TimePoint later = START + milliseconds(1000);
+    reader.replace(next, 12, later);
+    CHECK(other.merge(sent(reader, later), later));
+    CHECK(other.records() == reader.records());
+    CHECK(other.revision() == 12);
+}
+
+TEST_CASE("a copy that missed a change is refused and left as it was")
+{
+    EndpointList reader;
+    EndpointList other;
+    reader.replace(endpoints(5), 10, START);
+    other.replace(endpoints(5), 10, START);
+    reader.replace(endpoints(6), 11, START + milliseconds(500));
+    const TimePoint late = START + milliseconds(500) + EndpointList::CHANGE_MEMORY;
+    reader.replace(endpoints(6), 13, late);
+    CHECK_FALSE(other.merge(sent(reader, late), late));
+    CHECK(other.records().size() == 5);
+    CHECK(other.revision() == 10);
+}
+
+TEST_CASE("news missed for a few seconds is made up for by the next")
+{
+    EndpointList reader;
+    EndpointList other;
+    reader.replace(endpoints(5), 10, START);
+    other.replace(endpoints(5), 10, START);
+    reader.replace(endpoints(4), 11, START + milliseconds(500));
+    const TimePoint later = START + milliseconds(3000);
+    reader.replace(endpoints(4), 15, later);
+    CHECK(other.merge(sent(reader, later), later));
+    CHECK(other.records() == reader.records());
+}
+
+TEST_CASE("a list never gives way to an older one")
+{
+    EndpointList reader;
+    EndpointList other;
+    reader.replace(endpoints(5), 10, START);
+    other.replace(endpoints(6), 11, START);
+    CHECK_FALSE(other.merge(sent(reader, START), START));
+    other.replace(endpoints(3), 9, START);
+    CHECK(other.records().size() == 6);
+    EndpointList empty;
+    CHECK_FALSE(empty.merge(sent(reader, START), START));
+}
+
+TEST_CASE("bytes that aren't whole news are refused")
+{
+    EndpointList reader;
+    reader.replace(endpoints(3), 10, START);
+    reader.replace(endpoints(2), 11, START);
+    const std::string bytes = *encodeListNews(reader.news(START));
+    for (std::size_t length = 0; length < bytes.size(); ++length) {
+        CHECK_FALSE(decodeListNews(bytes.substr(0, length)));
+    }
+    std::mt19937 random(3);
+    for (int i = 0; i < 2000; ++i) {
+        std::string noise = bytes;
+        noise[random() % noise.size()] = static_cast<char>(random());
+        EndpointList other;
+        other.replace(endpoints(2), 9, START);
+        if (const auto news = decodeListNews(noise)) {
+            other.merge(*news, START);
+        }
+        CHECK((other.records() == endpoints(2) || other.revision() == 9));
+    }
+}
+
+TEST_CASE("news too long for a datagram isn't sent")
+{
+    EndpointList reader;
+    reader.replace(endpoints(200), 10, START);
+    CHECK_FALSE(encodeListNews(reader.news(START)));
+    const TimePoint later = START + EndpointList::CHANGE_MEMORY;
+    reader.replace(endpoints(200), 11, later);
+    CHECK(encodeListNews(reader.news(later)));
+}
+
+namespace
+{
+
+/** A fleet whose gateways read by the plan and hear of each other's reads, a part of the news being lost. */
+class Fleet
+{
+public:
+    static constexpr Duration INTERVAL = milliseconds(700);
+    /** A read and the way of its news. */
+    static constexpr Duration READ_TIME = milliseconds(8);
+
+    Fleet(int gateways, double lost, std::uint64_t seed)
+        : m_gateways(gateways)
+        , m_lost(lost)
+        , m_random(seed)
+        , m_readAt(static_cast<std::size_t>(gateways), START)
+        , m_dueAt(static_cast<std::size_t>(gateways), START)
+    {
+        for (int i = 0; i < gateways; ++i) {
+            plan(i, START);
+        }
+    }
+
+    /** Runs until `end`; gateways below `firstAlive` are gone. */
+    void run(TimePoint end, int firstAlive = 0)
+    {
+        while (true) {
+            const auto next = std::min_element(m_dueAt.begin() + firstAlive, m_dueAt.end());
+            const TimePoint now = *next + READ_TIME;
+            if (now >= end) {
+                return;
+            }
+            finishReads(now, firstAlive);
+        }
+    }
+
+    int reads() const
+    {
+        return m_reads;
+    }
+    Duration oldest() const
+    {
+        return m_oldest;
+    }
+
+private:
+    /** All reads that began within a read's time before `now` end with it: none heard of the others in time. */
+    void finishReads(TimePoint now, int firstAlive)
+    {
+        std::vector<int> readers;
+        for (int i = firstAlive; i < m_gateways; ++i) {
+            if (m_dueAt[static_cast<std::size_t>(i)] <= now) {
+                readers.push_back(i);
+            }
+        }
+        m_reads += static_cast<int>(readers.size());
+        for (int i = firstAlive; i < m_gateways; ++i) {
+            const bool isReader = std::find(readers.begin(), readers.end(), i) != readers.end();
+            if (isReader || draw() >= m_lost) {
+                m_oldest = std::max(m_oldest, Duration(now - m_readAt[static_cast<std::size_t>(i)]));
+                m_readAt[static_cast<std::size_t>(i)] = now;
+                plan(i, now);
+            }
+        }
+    }
+
+    void plan(int gateway, TimePoint now)
+    {
+        m_dueAt[static_cast<std::size_t>(gateway)] = now + waitForListRead(INTERVAL, m_gateways, draw());
+    }
+
+    double draw()
+    {
+        return std::uniform_real_distribution<double>(0, 1)(m_random);
+    }
+
+    int m_gateways;
+    double m_lost;
+    std::mt19937_64 m_random;
+    std::vector<TimePoint> m_readAt;
+    std::vector<TimePoint> m_dueAt;
+    int m_reads = 0;
+    Duration m_oldest{};
+};
+
+}
+
+TEST_CASE("few reads keep all copies fresh, whatever the size of the fleet")
+{
+    const int gateways = GENERATE(1, 8, 36, 370);
+    constexpr int SECONDS = 60;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        Fleet fleet(gateways, 0.05, seed);
+        fleet.run(START + milliseconds(1000 * SECONDS));
+        CAPTURE(gateways, seed, fleet.reads(), toMilliseconds(fleet.oldest()));
+        // Each reading for itself would take 1.4 reads a second and gateway.
+        CHECK(fleet.reads() < 8 * SECONDS);
+        // An endpoint that leaves must get no more work 2 s after its entry says so.
+        CHECK(fleet.oldest() < milliseconds(1700));
+    }
+}
+
+TEST_CASE("copies stay fresh when half of the gateways end at once")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        Fleet fleet(36, 0.05, seed);
+        fleet.run(START + milliseconds(10000));
+        fleet.run(START + milliseconds(20000), 18);
+        CHECK(fleet.oldest() < milliseconds(1700));
+    }
+}
--- a/test/fuzz/parsers.cpp
+++ b/test/fuzz/parsers.cpp
@@ -7,6 +7,7 @@
 #include "configurationkeeper.h"
 #include "errors.h"
 #include "fixtures.h"
+#include "gateway/endpointlist.h"
 #include "gateway/gatewaysettings.h"
 #include "gateway/peerdigest.h"
 #include "messageheaders.h"
@@ -24,7 +25,7 @@
 namespace
 {
 
-constexpr int PARSERS = 14;
+constexpr int PARSERS = 15;
 
 void admit(const std::string &text)
 {
@@ -105,6 +106,9 @@
     case 12:
         parseMessages(text);
         break;
+    case 13:
+        decodeListNews(text);
+        break;
     default:
         admit(text);
         break;
