Urgent long answers get room before long prompts; waits for slots count; early requests wait for the configuration

Apart from that, 156 of the requests that returned after a loss of power were refused in the first 100 ms after the restart, before the configuration was read. Change: an engine's room is 20 streams, at all times; in a shortage the more urgent kind, by the running mean of its routes' priority, gets what it needs up to 0.75 of the endpoints; the wait for a slot is part of the estimate; requests of the first 500 ms wait until the process is ready. Signal handlers are set before anything else. Tests: shortage with each order of urgency, room kept for prompts, a stray request of the other kind, slot wait, a request during the start; each failed before the change, the last wasn't run before.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,6 +18,9 @@
 
 constexpr int OK = 200;
 constexpr int UNAVAILABLE = 503;
+/** Reading configuration and endpoints takes some ten milliseconds after a start, a few hundred on the smallest VMs.
+ * Callers who return after an outage come just then. */
+constexpr Duration FIRST_CONFIGURATION_LIMIT = milliseconds(500);
 constexpr Duration HOUSEKEEPING_INTERVAL = milliseconds(1000);
 /** How often idle connections are closed while the process stops. */
 constexpr Duration STOP_STEP = milliseconds(100);
@@ -60,6 +63,8 @@
 
 void Gateway::start()
 {
+    m_startedAt = m_loop.now();
+    m_loop.callAfter(FIRST_CONFIGURATION_LIMIT, [this] { resumeEarly(); });
     m_store.start();
     m_registration.start();
     m_peerLink.start();
@@ -157,6 +162,33 @@
     return m_configuration && m_endpoints.readAt() && !m_stop;
 }
 
+void Gateway::noteReady()
+{
+    LogEvent("ready").field("waiting_requests", static_cast<long long>(m_early.size()));
+    resumeEarly();
+}
+
+bool Gateway::awaitsFirstConfiguration() const
+{
+    return !isReady() && !m_stop && m_loop.now() - m_startedAt < FIRST_CONFIGURATION_LIMIT;
+}
+
+void Gateway::resumeWhenReady(RequestFlow *flow)
+{
+    m_early.push_back(m_flows.at(flow));
+}
+
+void Gateway::resumeEarly()
+{
+    const auto early = std::move(m_early);
+    m_early.clear();
+    for (const auto &item : early) {
+        if (const auto flow = item.lock()) {
+            flow->resume();
+        }
+    }
+}
+
 void Gateway::handleCaller(const HttpServerConnectionPtr &connection, ReceivedRequest request)
 {
     const auto flow = std::make_shared<RequestFlow>(*this, connection, std::move(request));
@@ -219,7 +251,7 @@
         .field("revision", static_cast<long long>(revision))
         .field("routes", static_cast<long long>(m_configuration->routes().size()));
     if (!wasReady && isReady()) {
-        LogEvent("ready");
+        noteReady();
     }
 }
 
@@ -276,7 +308,7 @@
         }
     }
     if (!wasReady && isReady()) {
-        LogEvent("ready");
+        noteReady();
     }
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -116,6 +116,10 @@
     /** Uniform in [0, 1). */
     double draw();
 
+    /** Whether this process has just started and is still reading what it needs to serve. */
+    bool awaitsFirstConfiguration() const;
+    /** Resumes the flow once this process is ready, or when it has waited long enough. */
+    void resumeWhenReady(RequestFlow *flow);
     /** Destroys a flow in the next turn of the loop. */
     void remove(RequestFlow *flow);
 
@@ -137,6 +141,8 @@
     void housekeep();
     void stepStop();
     bool isReady() const;
+    void noteReady();
+    void resumeEarly();
 
     EventLoop &m_loop;
     GatewaySettings m_settings;
@@ -157,6 +163,9 @@
     Metrics m_metrics;
     std::mt19937_64 m_random;
     std::unordered_map<RequestFlow *, std::shared_ptr<RequestFlow>> m_flows;
+    TimePoint m_startedAt;
+    /** Requests that came before the first configuration. */
+    std::vector<std::weak_ptr<RequestFlow>> m_early;
     HttpServer m_callers;
     HttpServer m_readiness;
     HttpServer m_metricsPage;
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -15,8 +15,8 @@
 constexpr int DEFAULT_METRICS_PORT = 9102;
 constexpr std::int64_t MOST_MS = 3600000;
 constexpr std::int64_t DEFAULT_GRACE_MS = 8000;
-/** With the spread of waitForListRead() below the two seconds after which a leaving endpoint must get no more work, with
- * time for a slow answer. */
+/** With the spread of waitForListRead() below the two seconds after which a leaving endpoint must get no more work,
+ * with time for a slow answer. */
 constexpr std::int64_t DEFAULT_LIST_INTERVAL_MS = 700;
 
 PlacementRule readRule(CheckedTable &table)
@@ -42,11 +42,12 @@
     engine.prefillDilation = table.number("prefill_dilation", 1, 1000, engine.prefillDilation);
     engine.firstEventMs = table.number("first_event_ms", 0, MOST_COST_MS, engine.firstEventMs);
     engine.tokenMs = table.number("token_ms", 0, MOST_COST_MS, engine.tokenMs);
+    engine.fullBatchTokenMs = table.number("full_batch_token_ms", 0, MOST_COST_MS, engine.fullBatchTokenMs);
     engine.batchedTokenMs = table.number("batched_token_ms", 0, MOST_COST_MS, engine.batchedTokenMs);
     engine.rereadFactor = table.number("reread_factor", 1, 1000, engine.rereadFactor);
+    engine.urgentShare = table.number("urgent_share", 0, 1, engine.urgentShare);
     engine.prefillUtilization = table.number("prefill_utilization", 0.01, 1, engine.prefillUtilization);
     engine.streamsPerEndpoint = table.number("streams_per_endpoint", 1, 1e6, engine.streamsPerEndpoint);
-    engine.mostStreamsPerEndpoint = table.number("most_streams_per_endpoint", 1, 1e6, engine.mostStreamsPerEndpoint);
     policy.otherWorkloadCostMs = table.number("other_workload_cost_ms", 0, MOST_COST_MS, policy.otherWorkloadCostMs);
     policy.plainWorkMs = table.number("plain_work_ms", 0, MOST_COST_MS, policy.plainWorkMs);
     policy.failureCostMs = table.number("failure_cost_ms", 0, MOST_COST_MS, policy.failureCostMs);
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -93,26 +93,35 @@
 }
 
 double PlacementChooser::expectedMs(
-    const PlacementCandidate &candidate, bool hasPrompt, std::int64_t prefill, TimePoint now) const
+    const PlacementCandidate &candidate, const PromptTraits *prompt, std::int64_t prefill, TimePoint now) const
 {
     const EndpointStanding &standing = *candidate.standing;
-    if (!hasPrompt) {
+    if (prompt == nullptr) {
         const double slots = std::max(1, candidate.record->slots);
         return m_policy.plainWorkMs * (1 + loadOf(candidate, now) / slots);
     }
     const EngineCostModel &engine = m_policy.engine;
     const auto ahead
         = static_cast<double>(standing.pendingPrefillTokens() + candidate.peers.pendingPrefillTokens + prefill);
-    return engine.firstEventMs + ahead / engine.prefillTokensPerMs * engine.prefillDilation;
+    return engine.firstEventMs + ahead / engine.prefillTokensPerMs * engine.prefillDilation
+        + slotWaitMs(candidate, *prompt, now);
+}
+
+double PlacementChooser::slotWaitMs(
+    const PlacementCandidate &candidate, const PromptTraits &prompt, TimePoint now) const
+{
+    const double slots = std::max(1, candidate.record->slots);
+    const double waiting = std::max(0.0, loadOf(candidate, now) + 1 - slots);
+    return waiting / slots * expectedOutputTokens(prompt) * m_policy.engine.fullBatchTokenMs;
 }
 
 double PlacementChooser::costOf(
-    const PlacementCandidate &candidate, bool hasPrompt, std::int64_t prefill, TimePoint now) const
+    const PlacementCandidate &candidate, const PromptTraits *prompt, std::int64_t prefill, TimePoint now) const
 {
     const EngineCostModel &engine = m_policy.engine;
     const EndpointStanding &standing = *candidate.standing;
-    double cost = expectedMs(candidate, hasPrompt, prefill, now);
-    if (hasPrompt) {
+    double cost = expectedMs(candidate, prompt, prefill, now);
+    if (prompt != nullptr) {
         cost += (m_policy.prefillWeight - 1) * static_cast<double>(prefill) / engine.prefillTokensPerMs;
         cost += loadOf(candidate, now) * engine.runningCostMs;
     }
@@ -168,12 +177,12 @@
             }
             prefill = std::max<std::int64_t>(0, prompt->promptTokens - cached);
         }
-        double cost = costOf(candidate, prompt != nullptr, prefill, now);
+        double cost = costOf(candidate, prompt, prefill, now);
         if (!fitting.empty() && fitting.count(candidate.record->id) == 0) {
             cost += m_policy.otherWorkloadCostMs;
         }
         if (cost < best.cost) {
-            best = {candidate.record, prefill, expectedMs(candidate, prompt != nullptr, prefill, now), cost,
+            best = {candidate.record, prefill, expectedMs(candidate, prompt, prefill, now), cost,
                 m_split.longAnswerEndpoints(candidates.size(), m_policy.engine, now), candidate.record == home, false};
         }
     }
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -37,16 +37,19 @@
     double firstEventMs = 65;
     /** Time between two tokens of one request in a usual batch. */
     double tokenMs = 4;
+    /** Time between two tokens of one request when all slots are taken. */
+    double fullBatchTokenMs = 11;
     /** Engine time that one token takes when it shares its step with a usual batch. */
     double batchedTokenMs = 0.2;
     /** Prefill in all, over that of the requests' own parts: shared parts are read again now and then. */
     double rereadFactor = 1.5;
     /** Share of its time that an engine may spend on reading before prompts wait too long. */
     double prefillUtilization = 0.7;
-    /** Streams that share an engine with short pauses. */
+    /** Part of the endpoints that long answers may take before long prompts when there are too few for both and the
+     * answers are more urgent. The rest keeps prompts from starving. */
+    double urgentShare = 0.75;
+    /** Streams that share an engine with short pauses, also while prompts of new ones are read between their tokens. */
     double streamsPerEndpoint = 20;
-    /** Streams that an engine bears when prompts need the room. */
-    double mostStreamsPerEndpoint = 40;
 };
 
 struct PlacementPolicy
@@ -104,9 +107,9 @@
     Placement choose(
         const std::vector<PlacementCandidate> &candidates, const PromptTraits *prompt, double draw, TimePoint now);
 
-    void noteStarted(const PromptTraits &prompt, TimePoint now)
+    void noteStarted(const PromptTraits &prompt, int urgency, TimePoint now)
     {
-        m_split.noteStarted(prompt, m_policy.engine, now);
+        m_split.noteStarted(prompt, urgency, m_policy.engine, now);
     }
     void noteEnded(const PromptTraits &prompt)
     {
@@ -120,8 +123,12 @@
 private:
     Placement chooseByTime(const std::vector<PlacementCandidate> &candidates, const PromptTraits *prompt, double draw,
         TimePoint now) const;
-    double expectedMs(const PlacementCandidate &candidate, bool hasPrompt, std::int64_t prefill, TimePoint now) const;
-    double costOf(const PlacementCandidate &candidate, bool hasPrompt, std::int64_t prefill, TimePoint now) const;
+    double expectedMs(
+        const PlacementCandidate &candidate, const PromptTraits *prompt, std::int64_t prefill, TimePoint now) const;
+    /** Time until a slot of a full engine is free for the request. */
+    double slotWaitMs(const PlacementCandidate &candidate, const PromptTraits &prompt, TimePoint now) const;
+    double costOf(
+        const PlacementCandidate &candidate, const PromptTraits *prompt, std::int64_t prefill, TimePoint now) const;
     /** The ids of the candidates that serve the workload of `prompt`. */
     std::set<std::string> endpointsForWorkload(
         const std::vector<PlacementCandidate> &candidates, const PromptTraits &prompt, TimePoint now) const;
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -62,8 +62,25 @@
 
 void RequestFlow::start()
 {
-    const TimePoint now = m_gateway.loop().now();
     m_traits = m_gateway.messages().decodeRequest(m_request.head);
+    if (m_gateway.awaitsFirstConfiguration()) {
+        m_caller->setLeftHandler([this] { callerLeft(); });
+        m_gateway.resumeWhenReady(this);
+        return;
+    }
+    admit();
+}
+
+void RequestFlow::resume()
+{
+    if (!m_finished) {
+        admit();
+    }
+}
+
+void RequestFlow::admit()
+{
+    const TimePoint now = m_gateway.loop().now();
     m_configuration = m_gateway.configuration();
     const AdmissionResult result = admitRequest(m_configuration.get(), m_request.head, m_traits);
     if (const auto *refusal = std::get_if<GatewayRefusal>(&result)) {
@@ -88,7 +105,7 @@
     m_gateway.retries().noteRequest(m_service, now);
     m_lastEventId = m_traits.lastEventId;
     if (m_traits.prompt) {
-        m_gateway.placement().noteStarted(*m_traits.prompt, now);
+        m_gateway.placement().noteStarted(*m_traits.prompt, m_admitted.route->priority, now);
         m_demandNoted = true;
     }
     sendToEndpoint();
--- a/src/gateway/requestflow.h
+++ b/src/gateway/requestflow.h
@@ -28,6 +28,8 @@
     ~RequestFlow() override;
 
     void start();
+    /** Goes on with a request that waited for the first configuration. */
+    void resume();
 
 private:
     bool isOwnAnswer(const HttpResponseHead &head) override;
@@ -36,6 +38,7 @@
     void exchangeDone(bool isReusable) override;
     void exchangeFailed(ExchangeFailure failure) override;
 
+    void admit();
     void sendToEndpoint();
     /** Turns the request away and returns true when its first event would come too late. */
     bool refusedForOverload(const Placement &placement);
--- a/src/gateway/workloadsplit.cpp
+++ b/src/gateway/workloadsplit.cpp
@@ -20,9 +20,18 @@
 constexpr double LONG_PROMPT_SHARE = 0.15;
 /** Part of the endpoints that neither needs which goes to long answers. Long prompts gain more from room. */
 constexpr double SPARE_FOR_ANSWERS = 0.3;
+/** Weight of one request in the mean urgency of its kind: some twenty requests decide. */
+constexpr double URGENCY_WEIGHT = 0.05;
+/** Difference of mean urgencies below which both kinds count as equally urgent. */
+constexpr double LEAST_URGENCY_GAP = 0.25;
 /** Output tokens expected of a request that states nothing. */
 constexpr double DEFAULT_OUTPUT_TOKENS = 200;
 
+void mixIn(std::optional<double> &mean, double value)
+{
+    mean = mean ? *mean + URGENCY_WEIGHT * (value - *mean) : value;
+}
+
 double prefillMs(const PromptTraits &prompt, const EngineCostModel &engine)
 {
     return static_cast<double>(prompt.promptTokens) / engine.prefillTokensPerMs;
@@ -54,12 +63,19 @@
     return reading > LONG_PROMPT_SHARE * (reading + writing) ? WorkloadKind::LongPrompt : WorkloadKind::LongAnswer;
 }
 
-void WorkloadSplit::noteStarted(const PromptTraits &prompt, const EngineCostModel &engine, TimePoint now)
+bool WorkloadSplit::areAnswersMoreUrgent() const
+{
+    return m_promptUrgency && m_answerUrgency && *m_answerUrgency < *m_promptUrgency - LEAST_URGENCY_GAP;
+}
+
+void WorkloadSplit::noteStarted(const PromptTraits &prompt, int urgency, const EngineCostModel &engine, TimePoint now)
 {
     if (workloadOf(prompt, engine) == WorkloadKind::LongAnswer) {
+        mixIn(m_answerUrgency, urgency);
         ++m_longAnswers;
         return;
     }
+    mixIn(m_promptUrgency, urgency);
     m_prefillMs *= decayed(now - m_notedAt, MEMORY);
     m_notedAt = now;
     m_prefillMs
@@ -92,14 +108,15 @@
     if (forPrompts <= 0 && answers <= 0) {
         return endpoints / 2;
     }
-    // Streams bear a dense engine far better than prompts bear waiting, so they give way first.
-    const double comfortable = answers / engine.streamsPerEndpoint;
-    const double dense = answers / engine.mostStreamsPerEndpoint;
-    double share = std::max(dense, std::min(comfortable, count - forPrompts));
-    if (dense + forPrompts > count) {
-        share = count * dense / (dense + forPrompts);
-    } else if (comfortable + forPrompts < count) {
-        share = comfortable + (count - comfortable - forPrompts) * SPARE_FOR_ANSWERS;
+    const double forAnswers = answers / engine.streamsPerEndpoint;
+    double share = forAnswers;
+    if (forAnswers + forPrompts > count) {
+        share = count * forAnswers / (forAnswers + forPrompts);
+        if (areAnswersMoreUrgent()) {
+            share = std::max(share, std::min(forAnswers, count * engine.urgentShare));
+        }
+    } else {
+        share += (count - forAnswers - forPrompts) * SPARE_FOR_ANSWERS;
     }
     const auto rounded = static_cast<std::size_t>(std::lround(share));
     return endpoints < 2 ? endpoints : std::clamp<std::size_t>(rounded, 1, endpoints - 1);
--- a/src/gateway/workloadsplit.h
+++ b/src/gateway/workloadsplit.h
@@ -9,6 +9,7 @@
 #include "timepoint.h"
 
 #include <cstddef>
+#include <optional>
 #include <tuple>
 
 namespace Cyclamenturn
@@ -49,7 +50,8 @@
     /** Time constant of the measurement. A burst lasts seconds, and endpoints that change sides lose their cache. */
     static constexpr Duration MEMORY = milliseconds(3000);
 
-    void noteStarted(const PromptTraits &prompt, const EngineCostModel &engine, TimePoint now);
+    /** `urgency` is the route's priority, 0 first. */
+    void noteStarted(const PromptTraits &prompt, int urgency, const EngineCostModel &engine, TimePoint now);
     void noteEnded(const PromptTraits &prompt, const EngineCostModel &engine);
     void setOthers(const WorkloadDemand &demand)
     {
@@ -62,6 +64,11 @@
     std::size_t longAnswerEndpoints(std::size_t endpoints, const EngineCostModel &engine, TimePoint now) const;
 
 private:
+    bool areAnswersMoreUrgent() const;
+
+    /** Running means of the urgency of each kind; a few requests of a route are of the other kind than most. */
+    std::optional<double> m_promptUrgency;
+    std::optional<double> m_answerUrgency;
     /** Fades with MEMORY; its rate is m_prefillMs / MEMORY. */
     double m_prefillMs = 0;
     TimePoint m_notedAt;
--- a/test/correctness/placement.cpp
+++ b/test/correctness/placement.cpp
@@ -112,7 +112,7 @@
         const bool isPrompt = random() % 10 < 7;
         const PromptTraits prompt
             = isPrompt ? longPrompt("subject-" + std::to_string(random() % 140), i) : longAnswer(i);
-        chooser.noteStarted(prompt, now);
+        chooser.noteStarted(prompt, 1, now);
         if (!isPrompt && i >= 200) {
             chooser.noteEnded(prompt);
         }
@@ -154,6 +154,68 @@
     CHECK(split.longAnswerEndpoints(1, engine, START) == 1);
 }
 
+TEST_CASE("in a shortage the more urgent long answers get what they need before long prompts")
+{
+    const EngineCostModel engine;
+    const auto share = [&engine](int promptUrgency, int answerUrgency) {
+        WorkloadSplit split;
+        split.noteStarted(longPrompt("s", 1), promptUrgency, engine, START);
+        split.noteStarted(longAnswer(1), answerUrgency, engine, START);
+        // Twice as many prompts as all engines can read, beside 500 streams, as when a burst meets lost endpoints.
+        split.setOthers({50 * 2000 * engine.prefillUtilization, 500});
+        return split.longAnswerEndpoints(50, engine, START);
+    };
+    const auto needed = static_cast<std::size_t>(500 / engine.streamsPerEndpoint);
+    CHECK(share(1, 0) == needed);
+    CHECK(share(1, 1) < needed);
+    CHECK(share(0, 1) < needed);
+}
+
+TEST_CASE("one request of the other kind doesn't change whose kind is more urgent")
+{
+    const EngineCostModel engine;
+    WorkloadSplit split;
+    for (int i = 0; i < 20; ++i) {
+        split.noteStarted(longPrompt("s", i), 1, engine, START);
+        split.noteStarted(longAnswer(i), 0, engine, START);
+    }
+    split.setOthers({50 * 2000 * engine.prefillUtilization, 500});
+    const auto before = split.longAnswerEndpoints(50, engine, START);
+    // Of the prompts' route, with a short prompt; of the answers' route, with a long one.
+    split.noteStarted(longAnswer(99), 1, engine, START);
+    split.noteStarted(longPrompt("s", 99), 0, engine, START);
+    CHECK(split.longAnswerEndpoints(50, engine, START) == before);
+}
+
+TEST_CASE("long prompts keep endpoints however many urgent long answers there are")
+{
+    const EngineCostModel engine;
+    WorkloadSplit split;
+    split.noteStarted(longPrompt("s", 1), 1, engine, START);
+    split.noteStarted(longAnswer(1), 0, engine, START);
+    split.setOthers({50 * 1000, 50 * engine.streamsPerEndpoint});
+    CHECK(split.longAnswerEndpoints(50, engine, START) <= 50 * engine.urgentShare + 0.5);
+}
+
+TEST_CASE("the wait for a slot of a full engine counts")
+{
+    // A burst of long answers beyond the slots: the engine queues them, and estimates by prefill alone call it idle.
+    Fleet fleet(8);
+    PlacementChooser chooser(PlacementPolicy(), "domain-0");
+    auto candidates = fleet.candidates();
+    const PromptTraits prompt = longAnswer(1);
+    const std::string home = chooser.choose(candidates, &prompt, 0, START).endpoint->id;
+    fleet.standing(home).noteLoad({64, 36, 64}, START);
+    candidates = fleet.candidates();
+    CHECK(chooser.choose(candidates, &prompt, 0, START).endpoint->id != home);
+    for (const auto &record : fleet.records()) {
+        fleet.standing(record.id).noteLoad({64, 36, 64}, START);
+    }
+    candidates = fleet.candidates();
+    // 37 of 64 slots' worth of answers, 290 tokens each at 11 ms, come first.
+    CHECK(chooser.choose(candidates, &prompt, 0, START).expectedMs > 1500);
+}
+
 TEST_CASE("endpoints that fail or fell silent are left out while others remain")
 {
     Fleet fleet(3);
--- a/test/error/gatewayfleet.py
+++ b/test/error/gatewayfleet.py
@@ -174,14 +174,16 @@
 
 
 class Gateway:
-    def __init__(self, build, store, name="g1", grace_s=8):
-        self.callers, self.ready, self.metrics = free_port(), free_port(), free_port()
+    def __init__(self, build, store, name="g1", grace_s=8, ports=None):
+        """`ports` yields the ports to listen on; without it, the system chooses."""
+        port = free_port if ports is None else lambda: next(ports)
+        self.callers, self.ready, self.metrics = port(), port(), port()
         self.directory = tempfile.TemporaryDirectory()
         self.settings = os.path.join(self.directory.name, "gateway.toml")
         with open(self.settings, "w", encoding="utf-8") as out:
             out.write(f'role = "gateway"\nname = "{name}"\nfailure_domain = "z"\ncallers = "127.0.0.1:{self.callers}"\n'
                       f'readiness = "127.0.0.1:{self.ready}"\nmetrics = "127.0.0.1:{self.metrics}"\n'
-                      f'peers = "127.0.0.1:{free_port()}"\nstore = "127.0.0.1:{store.server.port}"\n'
+                      f'peers = "127.0.0.1:{port()}"\nstore = "127.0.0.1:{store.server.port}"\n'
                       f'stop_grace_s = {grace_s}\nlist_interval_ms = 100\n[retries]\nfleet_slack = 1000\n')
         self.log = os.path.join(self.directory.name, "log")
         with open(self.log, "wb") as log:
--- a/test/error/processes_gateway.py
+++ b/test/error/processes_gateway.py
@@ -82,6 +82,20 @@
         eventually(fleet.gateway.is_ready, "readiness")
 
 
+def a_request_during_the_start_waits_for_the_first_configuration():
+    with Fleet() as fleet:
+        answer = fleet.store.answer
+
+        def answer_slowly(request):
+            time.sleep(0.05)
+            return answer(request)
+        fleet.store.answer = answer_slowly
+        fleet.gateway.stop()
+        fleet.gateway = Gateway(BUILD, fleet.store)
+        eventually(lambda: fleet.gateway.lines("started"), "the start")
+        assert fleet.gateway.call("GET", "/plain/x")[0] == 200
+
+
 def a_route_timeout_is_answered_at_once_and_cancels_the_run():
     cancelled = threading.Event()
 
--- a/tools/cyclamenturn-gatewayd.cpp
+++ b/tools/cyclamenturn-gatewayd.cpp
@@ -134,6 +134,11 @@
 
 int main(int argc, char **argv)
 {
+    // First of all, so that a stop or reload during the start isn't taken for the end.
+    std::signal(SIGTERM, requestStop);
+    std::signal(SIGINT, requestStop);
+    std::signal(SIGHUP, requestReload);
+    std::signal(SIGPIPE, SIG_IGN);
     try {
         const auto commandLine = parseDaemonCommandLine(argc, argv, {"cyclamenturn-gatewayd", HELP, SETTINGS_VARIABLE});
         if (!commandLine) {
@@ -144,10 +149,6 @@
             return 0;
         }
         startLogging();
-        std::signal(SIGTERM, requestStop);
-        std::signal(SIGINT, requestStop);
-        std::signal(SIGHUP, requestReload);
-        std::signal(SIGPIPE, SIG_IGN);
         run(commandLine->settingsFile, settings);
         return 0;
     } catch (const UserError &error) {
--- a/tools/cyclamenturnd.cpp
+++ b/tools/cyclamenturnd.cpp
@@ -193,9 +193,6 @@
 void run(const Settings &settings)
 {
     startLogging();
-    std::signal(SIGTERM, requestStop);
-    std::signal(SIGINT, requestStop);
-    std::signal(SIGPIPE, SIG_IGN);
     if (settings.role == Role::Entry) {
         runEntry(settings);
     } else {
@@ -208,6 +205,10 @@
 
 int main(int argc, char **argv)
 {
+    // First of all, so that a stop during the start is orderly too.
+    std::signal(SIGTERM, requestStop);
+    std::signal(SIGINT, requestStop);
+    std::signal(SIGPIPE, SIG_IGN);
     try {
         const auto commandLine = parseDaemonCommandLine(argc, argv, {"cyclamenturnd", HELP, ""});
         if (!commandLine) {
