--- a/test/error/gatewayfleet.py
+++ b/test/error/gatewayfleet.py
@@ -45,12 +45,17 @@
     """Accepts connections and calls `serve(connection, stream)` for each in a thread of its own."""
 
     def __init__(self, serve):
+        self.open = set()
+
         class Handler(socketserver.StreamRequestHandler):
-            def handle(self):
+            def handle(inner):  # noqa: N805 - `self` is the server's
+                self.open.add(inner.connection)
                 try:
-                    serve(self.connection, self.rfile)
+                    serve(inner.connection, inner.rfile)
                 except (ConnectionError, ValueError, OSError):
                     pass  # the gateway closed the connection
+                finally:
+                    self.open.discard(inner.connection)
 
         socketserver.ThreadingTCPServer.allow_reuse_address = True
         self.server = socketserver.ThreadingTCPServer(("127.0.0.1", 0), Handler)
@@ -62,6 +67,11 @@
         self.server.shutdown()
         self.server.server_close()
 
+    def cut(self):
+        """Ends the connections that are open."""
+        for connection in list(self.open):
+            connection.shutdown(socket.SHUT_RDWR)
+
 
 class Store:
     def __init__(self):
--- a/test/error/processes_gateway.py
+++ b/test/error/processes_gateway.py
@@ -9,7 +9,7 @@
 import time
 import traceback
 
-from gatewayfleet import (Endpoint, Gateway, Store, chunk, configuration, eventually, route, sealed, stream_head)
+from gatewayfleet import (Endpoint, Gateway, Server, Store, chunk, configuration, eventually, route, sealed, stream_head)
 
 BUILD = sys.argv[1]
 ROUTES = [route("plain", "desk"), route("once", "desk", "non_idempotent", max_attempts=1),
@@ -162,6 +162,84 @@
         assert status == 503 and "Retry-After" in headers and "X-Server-Seal" not in headers
 
 
+def a_request_that_crashes_endpoints_is_kept_from_the_rest():
+    def crash(connection, request):
+        if "/boom" in request.target:
+            return False
+        connection.sendall(sealed(request))
+        return True
+
+    with Fleet(desk=crash, copies=8) as fleet:
+        answers = [fleet.gateway.call("POST", "/once/boom", b"the same")[0] for _ in range(8)]
+        assert answers[:3] == [502] * 3 and set(answers[3:]) == {503}, answers
+        assert len(fleet.requests()) == 3
+        assert fleet.gateway.call("POST", "/once/other", b"the same")[0] == 200
+
+
+def a_silent_endpoint_costs_a_repeatable_request_no_answer():
+    silent = threading.Event()
+
+    def answer(connection, request):
+        if not silent.is_set():
+            silent.set()
+            connection.recv(1)
+            return False
+        connection.sendall(sealed(request))
+        return True
+
+    with Fleet(desk=answer, copies=2) as fleet:
+        assert fleet.gateway.call("GET", "/plain/x")[0] == 200
+        assert len(fleet.requests()) == 2
+
+
+def a_new_endpoint_at_an_old_address_runs_nothing_meant_for_the_old_one():
+    ran = []
+
+    def only_own(connection, request):
+        if request.headers["x-expect-instance"] == "desk-0":
+            head = f"HTTP/1.1 421 X\r\nX-Attempt-Id: {request.headers['x-attempt-id']}\r\nX-Server-Seal: s\r\n"
+            connection.sendall(f"{head}Content-Length: 0\r\n\r\n".encode())
+            return
+        ran.append(request)
+        connection.sendall(sealed(request))
+
+    # desk-0 is still believed in, but what listens at its address is another instance.
+    with Fleet(desk=only_own, copies=2) as fleet:
+        for _ in range(6):
+            assert fleet.gateway.call("POST", "/once/x", b"")[0] in (200, 421, 503)
+        assert 0 < len(ran) <= 6
+        assert all(request.headers["x-expect-instance"] == "desk-1" for request in ran)
+
+
+def idle_connections_that_endpoints_drop_cost_no_repeatable_request():
+    def drop_when_reused(connection, request):
+        connection.sendall(sealed(request))
+        time.sleep(0.02)
+        return False
+
+    with Fleet(desk=drop_when_reused, copies=2) as fleet:
+        for _ in range(12):
+            assert fleet.gateway.call("GET", "/plain/x")[0] == 200
+            time.sleep(0.01)
+
+
+def a_gateway_cut_off_from_the_store_hears_of_endpoints_from_another():
+    with Fleet(copies=2) as fleet:
+        second_store = Server(fleet.store.serve)
+        second = Gateway(BUILD, type("At", (), {"server": second_store}), "g2")
+        try:
+            eventually(second.is_ready, "readiness of the second")
+            for gateway in (fleet.gateway, second):
+                eventually(lambda gateway=gateway: gateway.lines("peer_found"), "news of the other gateway")
+            second_store.close()
+            second_store.cut()
+            eventually(lambda: second.lines("store_lost"), "the loss")
+            fleet.store.put("servers/desk-0", fleet.endpoints[0].entry("desk", "draining"))
+            eventually(lambda: second.lines("endpoint_leaving"), "news of the leaving endpoint")
+        finally:
+            second.stop()
+
+
 def answers_of_other_requests_never_reach_a_caller():
     def doubled(connection, request):
         stale = sealed(request).replace(request.headers["x-attempt-id"].encode(), b"stale")
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -295,7 +295,7 @@
         name = names[which]
         service = self.fleet.endpoints[name][0]
         self.fleet.add_endpoint(service)
-        self.fleet.put_entry(name, "leaving")
+        self.fleet.put_entry(name, "draining")
         self.fleet.record.leaving[name] = time.monotonic()
         time.sleep(3)
         self.fleet.store.remove(f"servers/{name}")
