The answer to the caller in a class of its own; a new store address begins the list anew

A change of the store's address while a page of the list was on its way could have kept the pages read before. Change: CallerAnswer holds head, events and their timing; StoreLink::setAddress drops half-read pages.

--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -49,7 +49,7 @@
 
 RequestFlow::RequestFlow(Gateway &gateway, HttpServerConnectionPtr caller, ReceivedRequest request)
     : m_gateway(gateway)
-    , m_caller(std::move(caller))
+    , m_answer(std::move(caller), request.arrivedAt)
     , m_request(std::move(request))
 {
 }
@@ -64,7 +64,7 @@
 {
     m_traits = m_gateway.messages().decodeRequest(m_request.head);
     if (m_gateway.awaitsFirstConfiguration()) {
-        m_caller->setLeftHandler([this] { callerLeft(); });
+        m_answer.setLeftHandler([this] { callerLeft(); });
         m_gateway.resumeWhenReady(this);
         return;
     }
@@ -101,7 +101,7 @@
         refuse(GatewayRefusal::Stopping);
         return;
     }
-    m_caller->setLeftHandler([this] { callerLeft(); });
+    m_answer.setLeftHandler([this] { callerLeft(); });
     m_gateway.retries().noteRequest(m_service, now);
     m_lastEventId = m_traits.lastEventId;
     if (m_traits.prompt) {
@@ -213,7 +213,7 @@
 {
     const Route &route = *m_admitted.route;
     if (route.kind == RequestKind::Stream) {
-        if (m_firstByteSeen && m_eventsDelivered > 0) {
+        if (m_firstByteSeen && m_answer.events() > 0) {
             return route.eventGap.value_or(route.objective) * LOST_AFTER_GAPS;
         }
         return route.objective * LOST_AFTER_GAPS;
@@ -306,21 +306,12 @@
     if (!id.empty()) {
         m_lastEventId = id;
     }
-    const TimePoint now = m_gateway.loop().now();
-    if (m_eventsDelivered > 0) {
-        m_longestPause = std::max(m_longestPause, Duration(now - m_lastEventAt));
-    }
-    m_lastEventAt = now;
-    if (!m_headDelivered) {
-        m_headDelivered = true;
-        m_firstEventAfter = now - m_request.arrivedAt;
-        HttpResponseHead head{m_answerHead.status, m_answerHead.reason, endToEndFields(m_answerHead.fields)};
-        m_caller->beginStream(std::move(head));
+    const bool isFirst = !m_answer.isBegun();
+    m_answer.sendEvent(m_answerHead, event, m_gateway.loop().now());
+    if (isFirst) {
         m_gateway.metrics().observe(
-            "cyclamenturn_first_event_seconds", {{"route", m_admitted.route->name}}, m_firstEventAfter);
+            "cyclamenturn_first_event_seconds", {{"route", m_admitted.route->name}}, m_answer.firstEventAfter());
     }
-    ++m_eventsDelivered;
-    m_caller->sendPiece(event);
 }
 
 void RequestFlow::exchangeDone(bool isReusable)
@@ -357,11 +348,11 @@
 
 void RequestFlow::finishGoodStream()
 {
-    if (!m_headDelivered) {
+    if (!m_answer.isBegun()) {
         answer({m_answerHead.status, m_answerHead.reason, endToEndFields(m_answerHead.fields)}, "", "served");
         return;
     }
-    m_caller->endStream();
+    m_answer.endStream();
     finish(m_answerHead.status, "served");
 }
 
@@ -377,9 +368,9 @@
         sendToEndpoint();
         return;
     }
-    if (m_headDelivered) {
+    if (m_answer.isBegun()) {
         // A resumed stream was answered with something else than events.
-        m_caller->abort();
+        m_answer.cut();
         finish(m_answerHead.status, "stream_cut");
         return;
     }
@@ -426,7 +417,7 @@
 
 bool RequestFlow::mayResend(AttemptEnd end)
 {
-    const ResendState state{m_sends, m_headDelivered, timeLeft()};
+    const ResendState state{m_sends, m_answer.isBegun(), timeLeft()};
     if (chooseResend(*m_admitted.route, end, state) == ResendChoice::GiveUp) {
         return false;
     }
@@ -448,7 +439,7 @@
         .field("endpoint", m_endpoint.id)
         .field("reason", toString(reason))
         .field("after_ms", toMilliseconds(now - m_sentAt))
-        .field("events", m_eventsDelivered);
+        .field("events", m_answer.events());
     m_gateway.standing(m_endpoint.id).noteResult(result, now);
     endAttempt(false);
     if (end == AttemptEnd::NotSent || end == AttemptEnd::OtherInstance) {
@@ -465,9 +456,8 @@
 
 void RequestFlow::giveUp(AttemptEnd, GatewayRefusal reason)
 {
-    if (m_headDelivered) {
-        m_caller->setLeftHandler(nullptr);
-        m_caller->abort();
+    if (m_answer.isBegun()) {
+        m_answer.cut();
         m_cutReason = toString(reason);
         finish(0, "stream_cut");
         return;
@@ -511,8 +501,7 @@
 void RequestFlow::answer(HttpResponseHead head, const std::string &body, const char *outcome)
 {
     const int status = head.status;
-    m_caller->setLeftHandler(nullptr);
-    m_caller->sendAnswer(std::move(head), body);
+    m_answer.send(std::move(head), body);
     finish(status, outcome);
 }
 
@@ -532,9 +521,9 @@
             .field("priority", m_admitted.priority)
             .field("endpoint", m_endpoint.id)
             .field("sends", m_sends)
-            .field("events", m_eventsDelivered)
-            .field("first_event_ms", toMilliseconds(m_firstEventAfter))
-            .field("longest_pause_ms", toMilliseconds(m_longestPause))
+            .field("events", m_answer.events())
+            .field("first_event_ms", toMilliseconds(m_answer.firstEventAfter()))
+            .field("longest_pause_ms", toMilliseconds(m_answer.longestPause()))
             .field("expected_ms", static_cast<long long>(m_placement.expectedMs))
             .field("estimate_factor_pct", static_cast<long long>(100 * m_gateway.estimates().factor(now)))
             .field("prefill_tokens", m_placement.prefillTokens)
--- a/src/gateway/requestflow.h
+++ b/src/gateway/requestflow.h
@@ -4,12 +4,12 @@
 #pragma once
 
 #include "admitrequest.h"
+#include "calleranswer.h"
 #include "eventsplitter.h"
 #include "placement.h"
 #include "resendpolicy.h"
 
 #include "transport/httpclientconnection.h"
-#include "transport/httpserverconnection.h"
 
 #include <memory>
 #include <optional>
@@ -72,7 +72,7 @@
     Duration silenceLimit() const;
 
     Gateway &m_gateway;
-    HttpServerConnectionPtr m_caller;
+    CallerAnswer m_answer;
     ReceivedRequest m_request;
     RequestTraits m_traits;
     RoutingConfigurationPtr m_configuration;
@@ -102,13 +102,6 @@
     bool m_mayHaveRun = false;
     EventSplitter m_splitter;
     std::string m_lastEventId;
-    int m_eventsDelivered = 0;
-    /** Time from the request's arrival to its first event; 0 while there is none. */
-    Duration m_firstEventAfter{};
-    /** When the last event was passed on, and the longest time between two. */
-    TimePoint m_lastEventAt;
-    Duration m_longestPause{};
-    bool m_headDelivered = false;
     /** Why a stream was cut after events had been delivered. */
     const char *m_cutReason = "none";
     /** Whether the request counts in the demand of its workload. */
--- a/src/gateway/storelink.cpp
+++ b/src/gateway/storelink.cpp
@@ -55,6 +55,7 @@
     const bool running = m_configuration.call != nullptr;
     m_loop.cancel(m_configuration.timer);
     m_loop.cancel(m_endpoints.timer);
+    m_pages.clear();
     m_configuration.call = std::make_unique<StoreCall>(m_loop, m_address);
     m_endpoints.call = std::make_unique<StoreCall>(m_loop, m_address);
     if (running) {
