Gateway: log and count the evidence that a request crashes endpoints

Change: crash_suspected for each lost or silent attempt, with fingerprint, evidence and count; fingerprint and crashes in request_finished; metrics of suspects, reports and suspects left out of digests. No decision changes.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -96,6 +96,10 @@
         }
     }
     out.crashSuspects = m_quarantine.suspects(m_loop.now(), MAX_SUSPECTS_PER_DIGEST);
+    const std::size_t suspectCount = m_quarantine.suspects(m_loop.now(), CrashQuarantine::MAX_SUSPECTS).size();
+    m_metrics.set("cyclamenturn_crash_suspects", {}, static_cast<double>(suspectCount));
+    m_metrics.count(
+        "cyclamenturn_crash_suspects_left_out", {}, static_cast<double>(suspectCount - out.crashSuspects.size()));
     return out;
 }
 
@@ -106,6 +110,7 @@
     m_store.handlePeerConfigurationRevision(digest.configurationRevision);
     for (const auto &suspect : digest.crashSuspects) {
         m_quarantine.merge(suspect, m_loop.now());
+        m_metrics.count("cyclamenturn_crash_reports", {{"from", "peer"}});
     }
 }
 
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -32,6 +32,8 @@
 constexpr int EVENT_GAPS_UNTIL_LOST = 3;
 /** A plain repeatable request without a response after its objective divided by this is sent to another endpoint. */
 constexpr int RESPONSE_TIMEOUT_DIVISOR = 2;
+/** Shorter silences are usual for an endpoint that is merely busy. */
+constexpr Duration MIN_LOGGED_SILENCE = milliseconds(500);
 /** Few streams last longer, even where their route's timeout allows it. */
 constexpr Duration TYPICAL_MAX_STREAM_DURATION = milliseconds(5000);
 
@@ -181,6 +183,7 @@
     m_placement.endpoint = nullptr;
     m_connection = std::move(connection);
     m_sentAt = now;
+    m_lastActivityAt = now;
     m_firstByteSeen = false;
     m_responseBody.clear();
     m_splitter.clear();
@@ -237,6 +240,7 @@
     if (!m_connection || !mayResend(AttemptOutcome::ResponseLost)) {
         return;
     }
+    logSilentAttempt();
     m_gateway.statistics(m_endpoint.id).noteResult(EndpointResult::NoResponse, m_gateway.loop().now());
     m_gateway.metrics().count("cyclamenturn_resends", {{"reason", "silent"}});
     endAttempt(false);
@@ -268,6 +272,7 @@
 void RequestFlow::headReceived(const HttpResponseHead &head)
 {
     const TimePoint now = m_gateway.loop().now();
+    m_lastActivityAt = now;
     m_responseHead = head;
     m_responseTraits = m_gateway.messages().decodeResponse(head);
     if (m_responseTraits.load) {
@@ -282,6 +287,7 @@
 
 void RequestFlow::bodyReceived(std::string piece)
 {
+    m_lastActivityAt = m_gateway.loop().now();
     if (!m_firstByteSeen) {
         handleFirstResponseByte();
     }
@@ -391,6 +397,8 @@
         break;
     case ExchangeFailure::ConnectionLost:
         m_gateway.quarantine().recordCrash(m_fingerprint, m_endpoint.id, m_gateway.loop().now());
+        m_gateway.metrics().count("cyclamenturn_crash_reports", {{"from", "own"}});
+        logCrashEvidence("connection_lost");
         attemptFailed(AttemptOutcome::ResponseLost, EndpointResult::ConnectionLost, GatewayRefusal::EndpointLost);
         break;
     case ExchangeFailure::Malformed:
@@ -399,6 +407,25 @@
     }
 }
 
+void RequestFlow::logCrashEvidence(const char *evidence) const
+{
+    const TimePoint now = m_gateway.loop().now();
+    LogEvent("crash_suspected")
+        .field("request", m_traits.attemptId)
+        .field("fingerprint", std::to_string(m_fingerprint))
+        .field("endpoint", m_endpoint.id)
+        .field("evidence", evidence)
+        .field("silent_ms", toMilliseconds(now - m_lastActivityAt))
+        .field("crashes", m_gateway.quarantine().crashes(m_fingerprint, now));
+}
+
+void RequestFlow::logSilentAttempt() const
+{
+    if (m_connection && m_gateway.loop().now() - m_lastActivityAt >= MIN_LOGGED_SILENCE) {
+        logCrashEvidence("silence");
+    }
+}
+
 void RequestFlow::endAttempt(bool isReusable)
 {
     if (!m_connection) {
@@ -475,6 +502,7 @@
 void RequestFlow::deadlineReached()
 {
     const bool waiting = m_connection != nullptr && m_connection->isConnected();
+    logSilentAttempt();
     endAttempt(false);
     giveUp(AttemptOutcome::ResponseLost,
         waiting || m_mayHaveRun ? GatewayRefusal::TimedOut : GatewayRefusal::TimedOutUnsent);
@@ -482,6 +510,7 @@
 
 void RequestFlow::callerDisconnected()
 {
+    logSilentAttempt();
     endAttempt(false);
     finish(0, toString(GatewayRefusal::CallerDisconnected));
 }
@@ -536,6 +565,9 @@
             .field("home", m_placement.isHomeEndpoint ? 1 : 0)
             .field("long_answer_endpoints", static_cast<long long>(m_placement.longAnswerEndpoints));
     }
+    if (const int crashes = m_gateway.quarantine().crashes(m_fingerprint, now)) {
+        event.field("fingerprint", std::to_string(m_fingerprint)).field("crashes", crashes);
+    }
     if (m_configuration) {
         event.field("configuration", static_cast<long long>(m_configuration->version()));
     }
--- a/src/gateway/requestflow.h
+++ b/src/gateway/requestflow.h
@@ -54,6 +54,11 @@
     void finishStream();
     void finishPlainResponse();
 
+    /** Logs that the attempt's connection was lost or stayed silent, as evidence that the request may have crashed the
+     * endpoint. */
+    void logCrashEvidence(const char *evidence) const;
+    /** Logs the attempt in progress, if any, that is given up without a recent byte from its endpoint. */
+    void logSilentAttempt() const;
     /** Returns the attempt's connection to the pool when it is reusable, and closes it otherwise. */
     void endAttempt(bool isReusable);
     /** Handles a failed attempt: sends the request to another endpoint, or ends it with `reason`. */
@@ -91,6 +96,8 @@
     EndpointRecord m_endpoint;
     Placement m_placement;
     TimePoint m_sentAt;
+    /** When the request was sent or the last byte of the response arrived. */
+    TimePoint m_lastActivityAt;
     EventLoop::Timer m_responseTimer;
     HttpResponseHead m_responseHead;
     ResponseTraits m_responseTraits;
