Crashes that processes recorded apart add up

Cause: processes exchanged a count for each fingerprint and merged it by maximum. Gateways that each saw one crash, at different endpoints and before they heard of each other, all went on with one. Entries and agents had the same fault. An age that grows younger with each process that passes it on also kept suspects beyond their time. Evidence: error_crashes_counted_apart failed with 1 == 3 before. Change: processes exchange the crashes themselves, by endpoint incarnation, and keep their union; a crash known already keeps its earlier time. The datagram of a digest gets a new kind, so that gateways of both versions ignore each other's digests during an upgrade. JSON between entries and agents keeps the fields of earlier versions. The tests of the table use reports instead of counts. Why it works: a union is the same in whatever order, and however often, its parts arrive.

--- a/src/agentcore.cpp
+++ b/src/agentcore.cpp
@@ -21,8 +21,8 @@
 constexpr std::size_t MAX_PENDING_RESENDS = 256;
 /** Maximum time for which a stopping agent waits until the store has accepted its closing journal write. */
 constexpr Duration CLOSE_TIMEOUT = milliseconds(5000);
-/** Maximum number of crash suspects listed in one status report. */
-constexpr std::size_t MAX_REPORTED_SUSPECTS = 4;
+/** Maximum number of crashes listed in one status report. */
+constexpr std::size_t MAX_REPORTED_CRASHES = 4;
 /** Retry delay suggested to the caller when there is no estimate of the wait. */
 constexpr Duration DEFAULT_RETRY_AFTER = milliseconds(200);
 
@@ -116,8 +116,8 @@
 void AgentCore::onEvent(const CallOffered &event, TimePoint now, Actions &actions)
 {
     const Call &call = event.call;
-    if (event.crashes > 0) {
-        m_quarantine.merge(CrashSuspect{call.fingerprint, event.crashes, now, ""}, now);
+    for (const CrashReport &report : event.crashes) {
+        m_quarantine.merge(report, now);
     }
     if (event.incarnation != 0 && event.incarnation != m_identity.incarnation) {
         actions.push_back(FinishCall{call.id, Outcome::notRun(RefusalReason::WrongIncarnation)});
@@ -626,7 +626,7 @@
     out.meanRun = m_allRunTimes.mean().value_or(Duration(0));
     out.leaving = isLeaving();
     out.endpointUp = !m_endpointDownUntil || now >= *m_endpointDownUntil;
-    out.suspects = m_quarantine.suspects(now, MAX_REPORTED_SUSPECTS);
+    out.crashes = m_quarantine.reports(now, MAX_REPORTED_CRASHES);
     return out;
 }
 
--- a/src/agentevents.h
+++ b/src/agentevents.h
@@ -31,8 +31,8 @@
      * isolated; if neither has, the store is down.
      */
     bool storeReachableFromEntry = false;
-    /** Number of endpoint crashes that the entry attributes to the call's fingerprint. */
-    int crashes = 0;
+    /** Endpoint crashes known to the entry during runs of the call's fingerprint. */
+    std::vector<CrashReport> crashes;
 };
 
 /**
--- a/src/agentstatus.cpp
+++ b/src/agentstatus.cpp
@@ -3,7 +3,7 @@
  */
 #include "agentstatus.h"
 
-#include "errors.h"
+#include "crashreportjson.h"
 #include "jsoncodec.h"
 
 namespace Cyclamenturn
@@ -22,14 +22,7 @@
     out["mean_run_us"] = Json::Int64(meanRun.count());
     out["leaving"] = leaving;
     out["endpoint_up"] = endpointUp;
-    for (const auto &suspect : suspects) {
-        Json::Value item;
-        item["fingerprint"] = Json::UInt64(suspect.fingerprint);
-        item["crashes"] = suspect.crashes;
-        item["endpoint"] = suspect.endpoint;
-        item["last_crash_us"] = Json::Int64(suspect.lastCrash.time_since_epoch().count());
-        out["suspects"].append(item);
-    }
+    out["suspects"] = crashReportsToJson(crashes);
     return out;
 }
 
@@ -47,15 +40,7 @@
     out.meanRun = Duration(in.integer("mean_run_us"));
     out.leaving = in.boolean("leaving");
     out.endpointUp = in.boolean("endpoint_up");
-    for (const auto &item : in.array("suspects")) {
-        const JsonObject suspect(item);
-        const auto fingerprint = suspect.raw()["fingerprint"];
-        if (!fingerprint.isUInt64()) {
-            throw UserError("JSON member 'fingerprint' must be an unsigned integer");
-        }
-        out.suspects.push_back({fingerprint.asUInt64(), static_cast<int>(suspect.integer("crashes")),
-            TimePoint(Duration(suspect.integer("last_crash_us"))), suspect.text("endpoint", "")});
-    }
+    out.crashes = crashReportsFromJson(in.array("suspects"));
     return out;
 }
 
--- a/src/agentstatus.h
+++ b/src/agentstatus.h
@@ -3,7 +3,7 @@
  */
 #pragma once
 
-#include "crashquarantine.h"
+#include "crashreport.h"
 #include "timepoint.h"
 
 #include <json/json.h>
@@ -31,8 +31,8 @@
     bool leaving = false;
     /** False while the endpoint counts as down after a refused connection or a crash. */
     bool endpointUp = true;
-    /** The most recent crash suspects. */
-    std::vector<CrashSuspect> suspects;
+    /** The most recent crashes. Named "suspects" in JSON. */
+    std::vector<CrashReport> crashes;
 
     /** Codec for messages between processes. fromJson() throws UserError on a malformed report. */
     Json::Value toJson() const;
--- a/src/crashquarantine.cpp
+++ b/src/crashquarantine.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Crash counts and quarantine of requests by fingerprint.
+ * Crashes and quarantine of requests by fingerprint.
  */
 #include "crashquarantine.h"
 
@@ -10,19 +10,7 @@
 
 void CrashQuarantine::recordCrash(std::uint64_t fingerprint, const std::string &endpoint, TimePoint now)
 {
-    if (m_suspects.size() >= MAX_SUSPECTS) {
-        expire(now);
-    }
-    if (m_suspects.size() >= MAX_SUSPECTS && m_suspects.count(fingerprint) == 0) {
-        return;
-    }
-    CrashSuspect &suspect = m_suspects[fingerprint];
-    const bool sameCrash
-        = suspect.crashes > 0 && suspect.endpoint == endpoint && now - suspect.lastCrash < CRASH_REPORT_WINDOW;
-    suspect.fingerprint = fingerprint;
-    suspect.crashes += sameCrash ? 0 : 1;
-    suspect.endpoint = endpoint;
-    suspect.lastCrash = now;
+    merge({fingerprint, endpoint, now}, now);
 }
 
 void CrashQuarantine::clearSuspect(std::uint64_t fingerprint)
@@ -30,26 +18,42 @@
     m_suspects.erase(fingerprint);
 }
 
-void CrashQuarantine::merge(const CrashSuspect &suspect, TimePoint now)
+void CrashQuarantine::merge(const CrashReport &report, TimePoint now)
 {
-    const bool old = suspect.lastCrash + QUARANTINE_TIME <= now;
-    const bool future = suspect.lastCrash > now + QUARANTINE_TIME;
-    if (old || future || (m_suspects.size() >= MAX_SUSPECTS && m_suspects.count(suspect.fingerprint) == 0)) {
+    const bool old = report.at + QUARANTINE_TIME <= now;
+    const bool future = report.at > now + QUARANTINE_TIME;
+    if (old || future) {
         return;
     }
-    CrashSuspect &known = m_suspects[suspect.fingerprint];
-    known.fingerprint = suspect.fingerprint;
-    known.crashes = std::max(known.crashes, suspect.crashes);
-    if (suspect.lastCrash >= known.lastCrash) {
-        known.lastCrash = suspect.lastCrash;
-        known.endpoint = suspect.endpoint;
+    if (m_suspects.size() >= MAX_SUSPECTS) {
+        expire(now);
+    }
+    if (m_suspects.size() < MAX_SUSPECTS || m_suspects.count(report.fingerprint) != 0) {
+        add(m_suspects[report.fingerprint], report);
+    }
+}
+
+void CrashQuarantine::add(Suspect &suspect, const CrashReport &report)
+{
+    const auto isSameCrash = [this, &report](const Crash &crash) {
+        return crash.endpoint == report.endpoint && crash.at - report.at < m_sameCrashWindow
+            && report.at - crash.at < m_sameCrashWindow;
+    };
+    const auto known = std::find_if(suspect.crashes.begin(), suspect.crashes.end(), isSameCrash);
+    if (known != suspect.crashes.end()) {
+        // A report grows a little younger with each process that passes it on, and would otherwise never expire.
+        known->at = report.at - known->at < CRASH_REPORT_WINDOW ? std::min(known->at, report.at) : report.at;
+    } else if (suspect.crashes.size() < MAX_CRASHES) {
+        suspect.crashes.push_back({report.endpoint, report.at});
     }
+    const auto last = std::max_element(
+        suspect.crashes.begin(), suspect.crashes.end(), [](const auto &a, const auto &b) { return a.at < b.at; });
+    suspect.lastCrash = last->at;
 }
 
 bool CrashQuarantine::isQuarantined(std::uint64_t fingerprint, TimePoint now) const
 {
-    const auto it = m_suspects.find(fingerprint);
-    return it != m_suspects.end() && it->second.crashes >= m_crashLimit && now < it->second.lastCrash + QUARANTINE_TIME;
+    return crashes(fingerprint, now) >= m_crashLimit;
 }
 
 bool CrashQuarantine::isSuspect(std::uint64_t fingerprint, TimePoint now) const
@@ -60,18 +64,28 @@
 
 int CrashQuarantine::crashes(std::uint64_t fingerprint, TimePoint now) const
 {
-    return isSuspect(fingerprint, now) ? m_suspects.at(fingerprint).crashes : 0;
+    return isSuspect(fingerprint, now) ? static_cast<int>(m_suspects.at(fingerprint).crashes.size()) : 0;
 }
 
-std::vector<CrashSuspect> CrashQuarantine::suspects(TimePoint now, std::size_t maxCount) const
+std::vector<CrashReport> CrashQuarantine::reportsOf(std::uint64_t fingerprint, TimePoint now) const
 {
-    std::vector<CrashSuspect> out;
-    for (const auto &[fingerprint, suspect] : m_suspects) {
-        if (isSuspect(fingerprint, now)) {
-            out.push_back(suspect);
+    std::vector<CrashReport> out;
+    if (isSuspect(fingerprint, now)) {
+        for (const auto &crash : m_suspects.at(fingerprint).crashes) {
+            out.push_back({fingerprint, crash.endpoint, crash.at});
         }
     }
-    std::sort(out.begin(), out.end(), [](const auto &a, const auto &b) { return a.lastCrash > b.lastCrash; });
+    return out;
+}
+
+std::vector<CrashReport> CrashQuarantine::reports(TimePoint now, std::size_t maxCount) const
+{
+    std::vector<CrashReport> out;
+    for (const auto &[fingerprint, suspect] : m_suspects) {
+        const auto own = reportsOf(fingerprint, now);
+        out.insert(out.end(), own.begin(), own.end());
+    }
+    std::sort(out.begin(), out.end(), [](const auto &a, const auto &b) { return a.at > b.at; });
     out.resize(std::min(out.size(), maxCount));
     return out;
 }
--- a/src/crashquarantine.h
+++ b/src/crashquarantine.h
@@ -1,10 +1,11 @@
 /** \file
  * Detects requests that crash the endpoints on which they run. The fingerprint of each request that is running when an
- * endpoint crashes becomes a suspect; after the second crash it is quarantined for QUARANTINE_TIME. A resend with a new
- * idempotency key has the same fingerprint. A suspect that completes is cleared.
+ * endpoint crashes becomes a suspect; when the limit of crashes is reached, it is quarantined for QUARANTINE_TIME. A
+ * resend with a new idempotency key has the same fingerprint. A suspect that completes is cleared.
  */
 #pragma once
 
+#include "crashreport.h"
 #include "timepoint.h"
 
 #include <cstdint>
@@ -15,23 +16,7 @@
 namespace Cyclamenturn
 {
 
-/** A fingerprint with the number of crashes during its runs, as reported between processes. */
-struct CrashSuspect
-{
-    std::uint64_t fingerprint = 0;
-    int crashes = 0;
-    TimePoint lastCrash;
-    /** The endpoint of the last crash; empty if not known. */
-    std::string endpoint;
-
-    bool operator==(const CrashSuspect &other) const
-    {
-        return fingerprint == other.fingerprint && crashes == other.crashes && lastCrash == other.lastCrash
-            && endpoint == other.endpoint;
-    }
-};
-
-/** Table of crash suspects by fingerprint. */
+/** The known crashes by fingerprint, including those that other processes reported. */
 class CrashQuarantine
 {
 public:
@@ -39,6 +24,8 @@
     static constexpr int CRASH_LIMIT = 2;
     static constexpr Duration QUARANTINE_TIME = milliseconds(120000);
     static constexpr std::size_t MAX_SUSPECTS = 4096;
+    /** Crashes stored for one fingerprint, enough for any limit. */
+    static constexpr std::size_t MAX_CRASHES = 16;
 
     /**
      * Crash reports for the same fingerprint and endpoint within this time count as one crash, because several equal
@@ -46,8 +33,10 @@
      */
     static constexpr Duration CRASH_REPORT_WINDOW = milliseconds(1000);
 
-    explicit CrashQuarantine(int crashLimit = CRASH_LIMIT)
+    /** Use a longer `sameCrashWindow` where a restarted endpoint has another name. */
+    explicit CrashQuarantine(int crashLimit = CRASH_LIMIT, Duration sameCrashWindow = CRASH_REPORT_WINDOW)
         : m_crashLimit(crashLimit)
+        , m_sameCrashWindow(sameCrashWindow)
     {
     }
 
@@ -56,23 +45,43 @@
     /** Removes a fingerprint after a run that completed. */
     void clearSuspect(std::uint64_t fingerprint);
     /**
-     * Adds a suspect reported by another process. Ignores reports whose last crash is more than QUARANTINE_TIME in the
-     * past or in the future, and new suspects if the table is full.
+     * Adds a crash reported by another process. Ignores crashes more than QUARANTINE_TIME in the past or in the future,
+     * and new suspects if the table is full.
      */
-    void merge(const CrashSuspect &suspect, TimePoint now);
+    void merge(const CrashReport &report, TimePoint now);
 
     bool isQuarantined(std::uint64_t fingerprint, TimePoint now) const;
     bool isSuspect(std::uint64_t fingerprint, TimePoint now) const;
     /** Returns the number of crashes during runs of the fingerprint, 0 if it is not a suspect. */
     int crashes(std::uint64_t fingerprint, TimePoint now) const;
-    /** Returns at most `maxCount` suspects, those with the latest crashes first. */
-    std::vector<CrashSuspect> suspects(TimePoint now, std::size_t maxCount) const;
+    /** Returns the crashes during runs of the fingerprint. */
+    std::vector<CrashReport> reportsOf(std::uint64_t fingerprint, TimePoint now) const;
+    /** Returns at most `maxCount` crashes, the latest ones. */
+    std::vector<CrashReport> reports(TimePoint now, std::size_t maxCount) const;
+    std::size_t suspectCount() const
+    {
+        return m_suspects.size();
+    }
     /** Removes suspects whose last crash is older than QUARANTINE_TIME. */
     void expire(TimePoint now);
 
 private:
+    struct Crash
+    {
+        std::string endpoint;
+        TimePoint at;
+    };
+    struct Suspect
+    {
+        /** Never empty. */
+        std::vector<Crash> crashes;
+        TimePoint lastCrash;
+    };
+    void add(Suspect &suspect, const CrashReport &report);
+
     int m_crashLimit;
-    std::unordered_map<std::uint64_t, CrashSuspect> m_suspects;
+    Duration m_sameCrashWindow;
+    std::unordered_map<std::uint64_t, Suspect> m_suspects;
 };
 
 }
--- a/src/entrycore.cpp
+++ b/src/entrycore.cpp
@@ -87,7 +87,7 @@
     m_membership.noteSent(view->spec.name);
     const bool handshake = request.call.key.has_value();
     actions.push_back(SendAttempt{request.call.id, view->spec.name, view->spec.host, view->spec.port,
-        view->status.incarnation, handshake, m_quarantine.crashes(request.call.fingerprint, now)});
+        view->status.incarnation, handshake, m_quarantine.reportsOf(request.call.fingerprint, now)});
 }
 
 void EntryCore::finishWithoutEndpoint(Request &request, TimePoint now, Actions &actions)
@@ -247,8 +247,8 @@
     if (!m_membership.applyReport(event.status, now)) {
         return;
     }
-    for (const CrashSuspect &suspect : event.status.suspects) {
-        m_quarantine.merge(suspect, now);
+    for (const CrashReport &report : event.status.crashes) {
+        m_quarantine.merge(report, now);
     }
 }
 
--- a/src/entryevents.h
+++ b/src/entryevents.h
@@ -91,8 +91,8 @@
     std::uint64_t incarnation = 0;
     /** True if the call must be sent only after the agent has answered a handshake on the same connection. */
     bool handshake = false;
-    /** The number of endpoint crashes known to this entry that involved the call's fingerprint. */
-    int crashes = 0;
+    /** Endpoint crashes known to this entry during runs of the call's fingerprint. */
+    std::vector<CrashReport> crashes;
 };
 
 /** No endpoint can be tried now; the caller of handle() sends RetryDue after `delay`. */
--- a/src/gateway/endpointdirectory.cpp
+++ b/src/gateway/endpointdirectory.cpp
@@ -3,11 +3,28 @@
  */
 #include "endpointdirectory.h"
 
+#include "rendezvoushash.h"
+
+#include <Poco/NumberFormatter.h>
+
 #include <set>
 
 namespace Cyclamenturn
 {
 
+namespace
+{
+
+constexpr int INCARNATION_NAME_DIGITS = 8;
+
+}
+
+std::string EndpointRecord::incarnationName() const
+{
+    return Poco::NumberFormatter::formatHex(
+        static_cast<Poco::UInt32>(contentHash(id, static_cast<std::uint64_t>(startedAtMs))), INCARNATION_NAME_DIGITS);
+}
+
 std::vector<EndpointChange> EndpointDirectory::apply(
     const std::vector<EndpointRecord> &list, std::uint64_t revision, TimePoint now)
 {
--- a/src/gateway/endpointdirectory.h
+++ b/src/gateway/endpointdirectory.h
@@ -37,6 +37,8 @@
             == std::tie(other.id, other.service, other.address, other.failureDomain, other.slots, other.isLeaving,
                 other.startedAtMs);
     }
+    /** A short name that differs between incarnations, also under the same id. */
+    std::string incarnationName() const;
     bool isSameIncarnation(const EndpointRecord &other) const
     {
         return id == other.id && startedAtMs == other.startedAtMs && address == other.address;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -24,7 +24,7 @@
 constexpr Duration HOUSEKEEPING_INTERVAL = milliseconds(1000);
 /** Interval at which idle caller connections are closed while the process stops. */
 constexpr Duration STOP_STEP_INTERVAL = milliseconds(100);
-constexpr std::size_t MAX_SUSPECTS_PER_DIGEST = 8;
+constexpr std::size_t MAX_CRASHES_PER_DIGEST = 8;
 /** A reset connection doesn't prove a crash, so this is one more than the agents' limit: they see their engine exit. */
 constexpr int CRASHES_TO_QUARANTINE = 3;
 /** Share of the connections accepted by an endpoint that the gateways use; the rest covers connections still
@@ -42,7 +42,7 @@
     , m_placement(settings.placement, settings.failureDomain)
     , m_pool(loop)
     , m_retries(settings.retries)
-    , m_quarantine(CRASHES_TO_QUARANTINE)
+    , m_quarantine(CRASHES_TO_QUARANTINE, CrashQuarantine::QUARANTINE_TIME)
     , m_random(std::random_device{}())
     , m_callerServer(loop, settings.callers,
           [this](const auto &connection, ReceivedRequest &request) { handleCaller(connection, std::move(request)); })
@@ -95,11 +95,11 @@
                     static_cast<std::uint32_t>(statistics.pendingPrefillTokens())});
         }
     }
-    out.crashSuspects = m_quarantine.suspects(m_loop.now(), MAX_SUSPECTS_PER_DIGEST);
-    const std::size_t suspectCount = m_quarantine.suspects(m_loop.now(), CrashQuarantine::MAX_SUSPECTS).size();
-    m_metrics.set("cyclamenturn_crash_suspects", {}, static_cast<double>(suspectCount));
-    m_metrics.count(
-        "cyclamenturn_crash_suspects_left_out", {}, static_cast<double>(suspectCount - out.crashSuspects.size()));
+    out.crashes = m_quarantine.reports(m_loop.now(), MAX_CRASHES_PER_DIGEST);
+    const std::size_t crashCount
+        = m_quarantine.reports(m_loop.now(), CrashQuarantine::MAX_SUSPECTS * CrashQuarantine::MAX_CRASHES).size();
+    m_metrics.set("cyclamenturn_crash_suspects", {}, static_cast<double>(m_quarantine.suspectCount()));
+    m_metrics.count("cyclamenturn_crash_reports_left_out", {}, static_cast<double>(crashCount - out.crashes.size()));
     return out;
 }
 
@@ -108,8 +108,8 @@
     m_placement.split().setPeerDemand(m_peers.demand());
     m_store.setHasPeers(true);
     m_store.handlePeerConfigurationRevision(digest.configurationRevision);
-    for (const auto &suspect : digest.crashSuspects) {
-        m_quarantine.merge(suspect, m_loop.now());
+    for (const auto &report : digest.crashes) {
+        m_quarantine.merge(report, m_loop.now());
         m_metrics.count("cyclamenturn_crash_reports", {{"from", "peer"}});
     }
 }
--- a/src/gateway/peerdatagram.h
+++ b/src/gateway/peerdatagram.h
@@ -12,10 +12,10 @@
 namespace Cyclamenturn
 {
 
-/** The first byte of a datagram. A changed format needs a new value. */
+/** The first byte of a datagram. A changed format needs a new value; those of earlier formats aren't used again. */
 enum class DatagramKind : std::uint8_t {
-    Digest = 1,
     EndpointListUpdate = 2,
+    Digest = 3,
 };
 
 /** Size of the largest datagram that is sent or received. */
--- a/src/gateway/peerdigest.cpp
+++ b/src/gateway/peerdigest.cpp
@@ -17,7 +17,7 @@
 
 /** Limits that keep a digest well within one packet. */
 constexpr std::size_t MAX_ENDPOINT_REQUESTS = 96;
-constexpr std::size_t MAX_CRASH_SUSPECTS = 8;
+constexpr std::size_t MAX_CRASHES = 8;
 
 }
 
@@ -40,14 +40,12 @@
         out << Poco::UInt32(requests.endpoint) << Poco::UInt16(requests.inFlight)
             << Poco::UInt32(requests.pendingPrefillTokens);
     }
-    const std::size_t suspectCount = std::min(digest.crashSuspects.size(), MAX_CRASH_SUSPECTS);
-    out << static_cast<Poco::UInt8>(suspectCount);
-    for (std::size_t i = 0; i < suspectCount; ++i) {
-        const CrashSuspect &suspect = digest.crashSuspects[i];
-        const auto ageMs
-            = static_cast<Poco::UInt32>(std::max<std::int64_t>(0, toMilliseconds(now - suspect.lastCrash)));
-        out << Poco::UInt64(suspect.fingerprint) << static_cast<Poco::UInt8>(std::min(suspect.crashes, 255)) << ageMs
-            << suspect.endpoint;
+    const std::size_t crashCount = std::min(digest.crashes.size(), MAX_CRASHES);
+    out << static_cast<Poco::UInt8>(crashCount);
+    for (std::size_t i = 0; i < crashCount; ++i) {
+        const CrashReport &report = digest.crashes[i];
+        const auto ageMs = static_cast<Poco::UInt32>(std::max<std::int64_t>(0, toMilliseconds(now - report.at)));
+        out << Poco::UInt64(report.fingerprint) << ageMs << report.endpoint;
     }
     out.flush();
     return stream.str();
@@ -89,14 +87,13 @@
     in >> count;
     for (int i = 0; i < count && in.good(); ++i) {
         Poco::UInt64 fingerprint = 0;
-        Poco::UInt8 crashes = 0;
         Poco::UInt32 ageMs = 0;
         std::string endpoint;
-        in >> fingerprint >> crashes >> ageMs;
+        in >> fingerprint >> ageMs;
         if (!readText(in, endpoint)) {
             return std::nullopt;
         }
-        out.crashSuspects.push_back({fingerprint, crashes, now - milliseconds(ageMs), endpoint});
+        out.crashes.push_back({fingerprint, endpoint, now - milliseconds(ageMs)});
     }
     if (!in.good() || out.name.empty()) {
         return std::nullopt;
--- a/src/gateway/peerdigest.h
+++ b/src/gateway/peerdigest.h
@@ -3,7 +3,7 @@
  */
 #pragma once
 
-#include "crashquarantine.h"
+#include "crashreport.h"
 #include "workloadsplit.h"
 
 #include <cstdint>
@@ -43,14 +43,13 @@
     WorkloadDemand demand;
     /** Endpoints at which the gateway has requests. */
     std::vector<EndpointRequests> endpointRequests;
-    /** Requests that were in progress when endpoints crashed. */
-    std::vector<CrashSuspect> crashSuspects;
+    std::vector<CrashReport> crashes;
 };
 
 /** The hash that identifies an endpoint in digests. */
 std::uint32_t endpointHash(const std::string &endpointId);
 
-/** Serializes a digest. Times of crash suspects are written as ages before `now`, since the clocks of VMs differ. */
+/** Serializes a digest. Times of crashes are written as ages before `now`, since the clocks of VMs differ. */
 std::string encodeDigest(const PeerDigest &digest, TimePoint now);
 /** Parses a digest. Returns nothing if the bytes aren't a complete digest of this version. */
 std::optional<PeerDigest> decodeDigest(const std::string &bytes, TimePoint now);
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -396,7 +396,7 @@
         attemptFailed(AttemptOutcome::NotSent, EndpointResult::NotConnected, GatewayRefusal::NotReached);
         break;
     case ExchangeFailure::ConnectionLost:
-        m_gateway.quarantine().recordCrash(m_fingerprint, m_endpoint.id, m_gateway.loop().now());
+        m_gateway.quarantine().recordCrash(m_fingerprint, m_endpoint.incarnationName(), m_gateway.loop().now());
         m_gateway.metrics().count("cyclamenturn_crash_reports", {{"from", "own"}});
         logCrashEvidence("connection_lost");
         attemptFailed(AttemptOutcome::ResponseLost, EndpointResult::ConnectionLost, GatewayRefusal::EndpointLost);
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -3,6 +3,7 @@
  */
 #include "wire.h"
 
+#include "crashreportjson.h"
 #include "errors.h"
 #include "jsoncodec.h"
 
@@ -124,7 +125,9 @@
     out["from"] = toString(from);
     out["revision"] = Json::UInt64(revision);
     out["store_seen"] = storeReachable;
-    out["crashes"] = crashes;
+    out["crash_reports"] = crashReportsToJson(crashes);
+    // Read by earlier versions.
+    out["crashes"] = Json::UInt64(crashes.size());
     return toJsonText(out);
 }
 
@@ -141,7 +144,7 @@
     out.from = addressFromString(in.text("from"));
     out.revision = static_cast<std::uint64_t>(in.integer("revision"));
     out.storeReachable = in.boolean("store_seen");
-    out.crashes = static_cast<int>(in.integer("crashes", 0));
+    out.crashes = crashReportsFromJson(in.array("crash_reports"));
     return out;
 }
 
--- a/src/wire.h
+++ b/src/wire.h
@@ -12,6 +12,7 @@
 #include <json/json.h>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace Cyclamenturn
 {
@@ -35,8 +36,8 @@
     std::uint64_t revision = 0;
     /** Whether the entry has received a response from the store recently. */
     bool storeReachable = false;
-    /** Number of endpoint crashes that the entry attributes to the call's fingerprint. */
-    int crashes = 0;
+    /** Endpoint crashes known to the entry during runs of the call's fingerprint. */
+    std::vector<CrashReport> crashes;
 
     /** Conversion to and from JSON text. decode() throws UserError. */
     std::string encode() const;
--- a/test/correctness/agent_calls.cpp
+++ b/test/correctness/agent_calls.cpp
@@ -12,7 +12,7 @@
 
 std::vector<AgentAction> offer(AgentCore &core, const Call &call, TimePoint now)
 {
-    return core.handle(CallOffered{call, 0, false, 0}, now);
+    return core.handle(CallOffered{call, 0, false, {}}, now);
 }
 
 Outcome outcomeOf(const std::vector<AgentAction> &actions)
@@ -144,14 +144,14 @@
         core.handle(Tick(), at(ms));
     }
     const Call call = makeDispatch("c", "k", at(40000), true);
-    CHECK(outcomeOf(core.handle(CallOffered{call, 0, true, 0}, at(40010))).reason() == RefusalReason::NotValidated);
-    CHECK(actionsOfType<StartRun>(core.handle(CallOffered{call, 0, false, 0}, at(40020))).size() == 1);
+    CHECK(outcomeOf(core.handle(CallOffered{call, 0, true, {}}, at(40010))).reason() == RefusalReason::NotValidated);
+    CHECK(actionsOfType<StartRun>(core.handle(CallOffered{call, 0, false, {}}, at(40020))).size() == 1);
 }
 
 TEST_CASE("a call addressed to another incarnation is refused")
 {
     AgentCore core = makeAgent("chat-1", "chat", at(0));
-    const auto actions = core.handle(CallOffered{makeCall("c", "question", at(0)), 17, false, 0}, at(0));
+    const auto actions = core.handle(CallOffered{makeCall("c", "question", at(0)), 17, false, {}}, at(0));
     CHECK(outcomeOf(actions).reason() == RefusalReason::WrongIncarnation);
 }
 
--- a/test/correctness/crashquarantine.cpp
+++ b/test/correctness/crashquarantine.cpp
@@ -16,8 +16,8 @@
     CHECK(agent.crashes(7, at(1)) == 1);
 
     CrashQuarantine entry;
-    for (const CrashSuspect &suspect : agent.suspects(at(1), 4)) {
-        entry.merge(suspect, at(2));
+    for (const CrashReport &report : agent.reports(at(1), 4)) {
+        entry.merge(report, at(2));
     }
     entry.recordCrash(7, "chat-1", at(2));
     CHECK(entry.crashes(7, at(2)) == 1);
@@ -29,7 +29,9 @@
     CrashQuarantine entry;
     entry.recordCrash(7, "chat-1", at(0));
     CrashQuarantine agent;
-    agent.merge(CrashSuspect{7, entry.crashes(7, at(1)), at(1), ""}, at(1));
+    for (const CrashReport &report : entry.reportsOf(7, at(1))) {
+        agent.merge(report, at(1));
+    }
     agent.recordCrash(7, "chat-2", at(2));
     CHECK(agent.isQuarantined(7, at(2)));
     CHECK(agent.isQuarantined(7, at(2) + CrashQuarantine::QUARANTINE_TIME - milliseconds(1)));
@@ -43,6 +45,26 @@
     table.clearSuspect(7);
     table.recordCrash(7, "chat-2", at(5000));
     CHECK_FALSE(table.isQuarantined(7, at(5000)));
-    table.merge(CrashSuspect{8, 2, at(0), "chat-1"}, at(0) + CrashQuarantine::QUARANTINE_TIME);
+    table.merge(CrashReport{8, "chat-1", at(0)}, at(0) + CrashQuarantine::QUARANTINE_TIME);
     CHECK_FALSE(table.isSuspect(8, at(0) + CrashQuarantine::QUARANTINE_TIME));
 }
+
+TEST_CASE("reports that are passed on between processes don't stay young")
+{
+    CrashQuarantine first;
+    CrashQuarantine second;
+    first.recordCrash(7, "chat-1", at(0));
+    TimePoint now = at(0);
+    const Duration transferTime = milliseconds(100);
+    while (now < at(0) + CrashQuarantine::QUARANTINE_TIME + milliseconds(1000)) {
+        now += milliseconds(300);
+        for (auto [sender, receiver] : {std::pair{&first, &second}, std::pair{&second, &first}}) {
+            for (CrashReport report : sender->reports(now, 4)) {
+                report.at += transferTime; // a digest states ages, so that the receiver can't subtract it
+                receiver->merge(report, now + transferTime);
+            }
+        }
+    }
+    CHECK_FALSE(first.isSuspect(7, now));
+    CHECK_FALSE(second.isSuspect(7, now));
+}
--- a/test/correctness/peerdigest.cpp
+++ b/test/correctness/peerdigest.cpp
@@ -23,7 +23,7 @@
     out.configurationRevision = 77;
     out.demand = {120, 3};
     out.endpointRequests = {{9, inFlight, 1000}};
-    out.crashSuspects = {{42, 2, START - milliseconds(500), "e"}};
+    out.crashes = {{42, "e", START - milliseconds(500)}};
     return out;
 }
 
@@ -39,8 +39,8 @@
     CHECK(received->configurationRevision == 77);
     CHECK(received->demand == sent.demand);
     CHECK(received->endpointRequests == sent.endpointRequests);
-    REQUIRE(received->crashSuspects.size() == 1);
-    CHECK(received->crashSuspects[0].lastCrash == otherClock - milliseconds(500));
+    REQUIRE(received->crashes.size() == 1);
+    CHECK(received->crashes[0] == CrashReport{42, "e", otherClock - milliseconds(500)});
 }
 
 TEST_CASE("incomplete digests are refused, and corrupted ones don't crash the decoder")
--- a/test/error/crashes_counted_apart.cpp
+++ b/test/error/crashes_counted_apart.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Three gateways that each recorded one crash of the same request, at different endpoints, count three crashes together.
+ * Three gateways that each recorded one crash of the same request count three crashes once they have exchanged reports.
  */
 #include "crashquarantine.h"
 #include "fixtures.h"
@@ -28,8 +28,8 @@
     }
     for (auto &receiver : gateways) {
         for (const auto &sender : gateways) {
-            for (const auto &suspect : sender.suspects(at(300), MAX_REPORTS)) {
-                receiver.merge(suspect, at(300));
+            for (const auto &report : sender.reports(at(300), MAX_REPORTS)) {
+                receiver.merge(report, at(300));
             }
         }
     }
--- a/test/error/random_faults.cpp
+++ b/test/error/random_faults.cpp
@@ -501,7 +501,7 @@
                 schedule(networkDelay(), [reportOnce, outcome] { reportOnce(AttemptAnswered{outcome}); });
             }
         };
-        deliverToAgent(agent, CallOffered{call, action.incarnation, false, 0});
+        deliverToAgent(agent, CallOffered{call, action.incarnation, false, {}});
     }
     void performEntry(int index, const WaitForRetry &action)
     {
