Innocent requests don't displace a crashing one from the digests

Cause: a digest had room for the 8 latest suspects. A crashed engine interrupts up to 64 requests, all of which become suspects at the same moment, so the one that is common to several crashes was left out; and a gateway passed on old reports of others instead of its own. Change: a digest has room for 32 crashes: at most 16 of quarantined requests, then those that the gateway recorded itself in the last 10 s, then others of requests with several crashes; what doesn't fit is drawn by lot each time and counted. An agent's status has room for 32 crashes instead of 4. Why it works: each crash is told to every gateway by the one that saw it, and innocent requests leave the table when they complete.

--- a/src/agentcore.cpp
+++ b/src/agentcore.cpp
@@ -22,7 +22,7 @@
 /** Maximum time for which a stopping agent waits until the store has accepted its closing journal write. */
 constexpr Duration CLOSE_TIMEOUT = milliseconds(5000);
 /** Maximum number of crashes listed in one status report. */
-constexpr std::size_t MAX_REPORTED_CRASHES = 4;
+constexpr std::size_t MAX_REPORTED_CRASHES = 32;
 /** Retry delay suggested to the caller when there is no estimate of the wait. */
 constexpr Duration DEFAULT_RETRY_AFTER = milliseconds(200);
 
@@ -626,7 +626,7 @@
     out.meanRun = m_allRunTimes.mean().value_or(Duration(0));
     out.leaving = isLeaving();
     out.endpointUp = !m_endpointDownUntil || now >= *m_endpointDownUntil;
-    out.crashes = m_quarantine.reports(now, MAX_REPORTED_CRASHES);
+    out.crashes = m_quarantine.reports(now, MAX_REPORTED_CRASHES, 0).reports;
     return out;
 }
 
--- a/src/crashquarantine.h
+++ b/src/crashquarantine.h
@@ -16,6 +16,14 @@
 namespace Cyclamenturn
 {
 
+/** Crashes selected for one message to the other processes. */
+struct CrashReportSelection
+{
+    std::vector<CrashReport> reports;
+    /** Number of crashes that should be reported but had no room. */
+    std::size_t leftOut = 0;
+};
+
 /** The known crashes by fingerprint, including those that other processes reported. */
 class CrashQuarantine
 {
@@ -26,6 +34,8 @@
     static constexpr std::size_t MAX_SUSPECTS = 4096;
     /** Crashes stored for one fingerprint, enough for any limit. */
     static constexpr std::size_t MAX_CRASHES = 16;
+    /** How long a process reports a crash that it recorded, even if the request has no other crash. */
+    static constexpr Duration OWN_REPORT_TIME = milliseconds(10000);
 
     /**
      * Crash reports for the same fingerprint and endpoint within this time count as one crash, because several equal
@@ -56,8 +66,12 @@
     int crashes(std::uint64_t fingerprint, TimePoint now) const;
     /** Returns the crashes during runs of the fingerprint. */
     std::vector<CrashReport> reportsOf(std::uint64_t fingerprint, TimePoint now) const;
-    /** Returns at most `maxCount` crashes, the latest ones. */
-    std::vector<CrashReport> reports(TimePoint now, std::size_t maxCount) const;
+    /**
+     * Returns at most `maxCount` crashes to be sent to the other processes: those of quarantined requests, then those
+     * that this process recorded itself, then those of requests with several crashes. `draw` is a random number in [0,
+     * 1) that varies the selection when there are too many.
+     */
+    CrashReportSelection reports(TimePoint now, std::size_t maxCount, double draw) const;
     std::size_t suspectCount() const
     {
         return m_suspects.size();
@@ -70,6 +84,8 @@
     {
         std::string endpoint;
         TimePoint at;
+        /** Whether this process recorded it, and not only others. */
+        bool isOwn = false;
     };
     struct Suspect
     {
@@ -77,7 +93,8 @@
         std::vector<Crash> crashes;
         TimePoint lastCrash;
     };
-    void add(Suspect &suspect, const CrashReport &report);
+    void add(const CrashReport &report, bool isOwn, TimePoint now);
+    void add(Suspect &suspect, const CrashReport &report, bool isOwn);
 
     int m_crashLimit;
     Duration m_sameCrashWindow;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -24,7 +24,6 @@
 constexpr Duration HOUSEKEEPING_INTERVAL = milliseconds(1000);
 /** Interval at which idle caller connections are closed while the process stops. */
 constexpr Duration STOP_STEP_INTERVAL = milliseconds(100);
-constexpr std::size_t MAX_CRASHES_PER_DIGEST = 8;
 /** A reset connection doesn't prove a crash, so this is one more than the agents' limit: they see their engine exit. */
 constexpr int CRASHES_TO_QUARANTINE = 3;
 /** Share of the connections accepted by an endpoint that the gateways use; the rest covers connections still
@@ -95,11 +94,10 @@
                     static_cast<std::uint32_t>(statistics.pendingPrefillTokens())});
         }
     }
-    out.crashes = m_quarantine.reports(m_loop.now(), MAX_CRASHES_PER_DIGEST);
-    const std::size_t crashCount
-        = m_quarantine.reports(m_loop.now(), CrashQuarantine::MAX_SUSPECTS * CrashQuarantine::MAX_CRASHES).size();
+    auto selection = m_quarantine.reports(m_loop.now(), PeerDigest::MAX_CRASHES, randomFraction());
+    out.crashes = std::move(selection.reports);
     m_metrics.set("cyclamenturn_crash_suspects", {}, static_cast<double>(m_quarantine.suspectCount()));
-    m_metrics.count("cyclamenturn_crash_reports_left_out", {}, static_cast<double>(crashCount - out.crashes.size()));
+    m_metrics.count("cyclamenturn_crash_reports_left_out", {}, static_cast<double>(selection.leftOut));
     return out;
 }
 
--- a/src/gateway/peerdigest.cpp
+++ b/src/gateway/peerdigest.cpp
@@ -15,9 +15,8 @@
 namespace
 {
 
-/** Limits that keep a digest well within one packet. */
+/** Limit that keeps a digest well within one packet. */
 constexpr std::size_t MAX_ENDPOINT_REQUESTS = 96;
-constexpr std::size_t MAX_CRASHES = 8;
 
 }
 
@@ -40,7 +39,7 @@
         out << Poco::UInt32(requests.endpoint) << Poco::UInt16(requests.inFlight)
             << Poco::UInt32(requests.pendingPrefillTokens);
     }
-    const std::size_t crashCount = std::min(digest.crashes.size(), MAX_CRASHES);
+    const std::size_t crashCount = std::min(digest.crashes.size(), PeerDigest::MAX_CRASHES);
     out << static_cast<Poco::UInt8>(crashCount);
     for (std::size_t i = 0; i < crashCount; ++i) {
         const CrashReport &report = digest.crashes[i];
--- a/src/gateway/peerdigest.h
+++ b/src/gateway/peerdigest.h
@@ -33,6 +33,9 @@
 
 struct PeerDigest
 {
+    /** Limit that keeps a digest within one packet. */
+    static constexpr std::size_t MAX_CRASHES = 32;
+
     std::string name;
     /** Start time of the process in microseconds of its VM's clock; a different value shows a restart. */
     std::uint64_t incarnation = 0;
--- a/test/correctness/crashquarantine.cpp
+++ b/test/correctness/crashquarantine.cpp
@@ -16,7 +16,7 @@
     CHECK(agent.crashes(7, at(1)) == 1);
 
     CrashQuarantine entry;
-    for (const CrashReport &report : agent.reports(at(1), 4)) {
+    for (const CrashReport &report : agent.reports(at(1), 4, 0).reports) {
         entry.merge(report, at(2));
     }
     entry.recordCrash(7, "chat-1", at(2));
@@ -59,7 +59,7 @@
     while (now < at(0) + CrashQuarantine::QUARANTINE_TIME + milliseconds(1000)) {
         now += milliseconds(300);
         for (auto [sender, receiver] : {std::pair{&first, &second}, std::pair{&second, &first}}) {
-            for (CrashReport report : sender->reports(now, 4)) {
+            for (CrashReport report : sender->reports(now, 4, 0).reports) {
                 report.at += transferTime; // a digest states ages, so that the receiver can't subtract it
                 receiver->merge(report, now + transferTime);
             }
