An endpoint that falls silent during a run counts as crashed

Cause: only a lost connection counted as a crash. An endpoint that goes dark, or that ends behind a cut, ends its requests by a timeout, at the deadline or when the caller leaves; none of these was counted. Change: an attempt given up without a recent byte is recorded as a crash of that incarnation; it counts once the silence has lasted 500 ms. A response to a request that was sent later shows that the incarnation runs, and withdraws its earlier crashes, lost connections too; each process judges by the responses that it received. When the list shows a successor under the same id, responses don't withdraw any more. Why it works: an incarnation ends once, so a sign of life tells a slow or briefly cut endpoint, which says nothing about the request, from one that ended.

--- a/src/crashquarantine.cpp
+++ b/src/crashquarantine.cpp
@@ -10,7 +10,24 @@
 
 void CrashQuarantine::recordCrash(std::uint64_t fingerprint, const std::string &endpoint, TimePoint now)
 {
-    add({fingerprint, endpoint, now}, true, now);
+    add(fingerprint, {endpoint, now, now, true}, now);
+}
+
+void CrashQuarantine::recordSilence(
+    std::uint64_t fingerprint, const std::string &endpoint, TimePoint silentSince, TimePoint now)
+{
+    add(fingerprint, {endpoint, now, std::max(now, silentSince + SILENCE_TIME), true}, now);
+}
+
+void CrashQuarantine::noteResponse(const std::string &endpoint, TimePoint sentAt)
+{
+    Liveness &liveness = m_liveness[endpoint];
+    liveness.respondedAt = std::max(liveness.respondedAt, sentAt);
+}
+
+void CrashQuarantine::noteEndpointEnded(const std::string &endpoint, TimePoint now)
+{
+    m_liveness[endpoint] = {now, true};
 }
 
 void CrashQuarantine::clearSuspect(std::uint64_t fingerprint)
@@ -23,39 +40,48 @@
     const bool old = report.at + QUARANTINE_TIME <= now;
     const bool future = report.at > now + QUARANTINE_TIME;
     if (!old && !future) {
-        add(report, false, now);
+        add(report.fingerprint, {report.endpoint, report.at, report.at, false}, now);
     }
 }
 
-void CrashQuarantine::add(const CrashReport &report, bool isOwn, TimePoint now)
+void CrashQuarantine::add(std::uint64_t fingerprint, const Crash &crash, TimePoint now)
 {
     if (m_suspects.size() >= MAX_SUSPECTS) {
         expire(now);
     }
-    if (m_suspects.size() < MAX_SUSPECTS || m_suspects.count(report.fingerprint) != 0) {
-        add(m_suspects[report.fingerprint], report, isOwn);
+    if (m_suspects.size() < MAX_SUSPECTS || m_suspects.count(fingerprint) != 0) {
+        add(m_suspects[fingerprint], crash);
     }
 }
 
-void CrashQuarantine::add(Suspect &suspect, const CrashReport &report, bool isOwn)
+void CrashQuarantine::add(Suspect &suspect, const Crash &crash)
 {
-    const auto isSameCrash = [this, &report](const Crash &crash) {
-        return crash.endpoint == report.endpoint && crash.at - report.at < m_sameCrashWindow
-            && report.at - crash.at < m_sameCrashWindow;
+    const auto isSameCrash = [this, &crash](const Crash &other) {
+        return other.endpoint == crash.endpoint && other.at - crash.at < m_sameCrashWindow
+            && crash.at - other.at < m_sameCrashWindow;
     };
     const auto known = std::find_if(suspect.crashes.begin(), suspect.crashes.end(), isSameCrash);
     if (known != suspect.crashes.end()) {
         // A report grows a little younger with each process that passes it on, and would otherwise never expire.
-        known->at = report.at - known->at < CRASH_REPORT_WINDOW ? std::min(known->at, report.at) : report.at;
-        known->isOwn = known->isOwn || isOwn;
+        known->at = crash.at - known->at < CRASH_REPORT_WINDOW ? std::min(known->at, crash.at) : crash.at;
+        known->countsFrom = std::min(known->countsFrom, crash.countsFrom);
+        known->isOwn = known->isOwn || crash.isOwn;
     } else if (suspect.crashes.size() < MAX_CRASHES) {
-        suspect.crashes.push_back({report.endpoint, report.at, isOwn});
+        suspect.crashes.push_back(crash);
     }
     const auto last = std::max_element(
         suspect.crashes.begin(), suspect.crashes.end(), [](const auto &a, const auto &b) { return a.at < b.at; });
     suspect.lastCrash = last->at;
 }
 
+bool CrashQuarantine::counts(const Crash &crash, TimePoint now) const
+{
+    const auto found = m_liveness.find(crash.endpoint);
+    const bool hasRespondedSince
+        = found != m_liveness.end() && !found->second.hasEnded && found->second.respondedAt > crash.at;
+    return now >= crash.countsFrom && !hasRespondedSince;
+}
+
 bool CrashQuarantine::isQuarantined(std::uint64_t fingerprint, TimePoint now) const
 {
     return crashes(fingerprint, now) >= m_crashLimit;
@@ -69,7 +95,7 @@
 
 int CrashQuarantine::crashes(std::uint64_t fingerprint, TimePoint now) const
 {
-    return isSuspect(fingerprint, now) ? static_cast<int>(m_suspects.at(fingerprint).crashes.size()) : 0;
+    return static_cast<int>(reportsOf(fingerprint, now).size());
 }
 
 std::vector<CrashReport> CrashQuarantine::reportsOf(std::uint64_t fingerprint, TimePoint now) const
@@ -77,7 +103,9 @@
     std::vector<CrashReport> out;
     if (isSuspect(fingerprint, now)) {
         for (const auto &crash : m_suspects.at(fingerprint).crashes) {
-            out.push_back({fingerprint, crash.endpoint, crash.at});
+            if (counts(crash, now)) {
+                out.push_back({fingerprint, crash.endpoint, crash.at});
+            }
         }
     }
     return out;
@@ -92,6 +120,9 @@
         const int count = crashes(fingerprint, now);
         for (const auto &crash : suspect.crashes) {
             const CrashReport report{fingerprint, crash.endpoint, crash.at};
+            if (!counts(crash, now)) {
+                continue;
+            }
             if (count >= m_crashLimit) {
                 quarantined.push_back(report);
             } else if (crash.isOwn && now < crash.at + OWN_REPORT_TIME) {
@@ -127,6 +158,9 @@
         }
         it = m_suspects.erase(it);
     }
+    for (auto it = m_liveness.begin(); it != m_liveness.end();) {
+        it = it->second.respondedAt + QUARANTINE_TIME > now ? std::next(it) : m_liveness.erase(it);
+    }
 }
 
 }
--- a/src/crashquarantine.h
+++ b/src/crashquarantine.h
@@ -34,6 +34,8 @@
     static constexpr std::size_t MAX_SUSPECTS = 4096;
     /** Crashes stored for one fingerprint, enough for any limit. */
     static constexpr std::size_t MAX_CRASHES = 16;
+    /** Silence of an endpoint after which it counts as crashed. Engines pause for shorter times. */
+    static constexpr Duration SILENCE_TIME = milliseconds(500);
     /** How long a process reports a crash that it recorded, even if the request has no other crash. */
     static constexpr Duration OWN_REPORT_TIME = milliseconds(10000);
 
@@ -52,6 +54,21 @@
 
     /** Counts a crash of `endpoint` during a run of the fingerprint. Ignores new suspects if the table is full. */
     void recordCrash(std::uint64_t fingerprint, const std::string &endpoint, TimePoint now);
+    /**
+     * Records that a run of the fingerprint was given up because `endpoint` had sent nothing since `silentSince`.
+     * Counts as a crash once the endpoint has been silent for SILENCE_TIME.
+     */
+    void recordSilence(std::uint64_t fingerprint, const std::string &endpoint, TimePoint silentSince, TimePoint now);
+    /**
+     * Records a response of `endpoint` to a request sent at `sentAt`: it has not crashed before that time, so earlier
+     * crashes don't count.
+     */
+    void noteResponse(const std::string &endpoint, TimePoint sentAt);
+    /**
+     * Records that `endpoint` has ended, so that all crashes of it count. Later responses come from its successor under
+     * the same id.
+     */
+    void noteEndpointEnded(const std::string &endpoint, TimePoint now);
     /** Removes a fingerprint after a run that completed. */
     void clearSuspect(std::uint64_t fingerprint);
     /**
@@ -62,9 +79,9 @@
 
     bool isQuarantined(std::uint64_t fingerprint, TimePoint now) const;
     bool isSuspect(std::uint64_t fingerprint, TimePoint now) const;
-    /** Returns the number of crashes during runs of the fingerprint, 0 if it is not a suspect. */
+    /** Returns the number of crashes that count for the fingerprint, 0 if it is not a suspect. */
     int crashes(std::uint64_t fingerprint, TimePoint now) const;
-    /** Returns the crashes during runs of the fingerprint. */
+    /** Returns the crashes that count for the fingerprint. */
     std::vector<CrashReport> reportsOf(std::uint64_t fingerprint, TimePoint now) const;
     /**
      * Returns at most `maxCount` crashes to be sent to the other processes: those of quarantined requests, then those
@@ -84,21 +101,33 @@
     {
         std::string endpoint;
         TimePoint at;
+        /** Later than `at` for an endpoint that was silent for a short time only. */
+        TimePoint countsFrom;
         /** Whether this process recorded it, and not only others. */
         bool isOwn = false;
     };
+    /** Signs that an endpoint still runs. */
+    struct Liveness
+    {
+        /** When the latest request was sent to which the endpoint responded. */
+        TimePoint respondedAt;
+        bool hasEnded = false;
+    };
     struct Suspect
     {
         /** Never empty. */
         std::vector<Crash> crashes;
         TimePoint lastCrash;
     };
-    void add(const CrashReport &report, bool isOwn, TimePoint now);
-    void add(Suspect &suspect, const CrashReport &report, bool isOwn);
+    void add(std::uint64_t fingerprint, const Crash &crash, TimePoint now);
+    void add(Suspect &suspect, const Crash &crash);
+    bool counts(const Crash &crash, TimePoint now) const;
 
     int m_crashLimit;
     Duration m_sameCrashWindow;
     std::unordered_map<std::uint64_t, Suspect> m_suspects;
+    /** By endpoint; entries are kept for QUARANTINE_TIME after the latest response. */
+    std::unordered_map<std::string, Liveness> m_liveness;
 };
 
 }
--- a/src/gateway/endpointdirectory.cpp
+++ b/src/gateway/endpointdirectory.cpp
@@ -44,11 +44,11 @@
         listed.insert(record.id);
         const auto known = m_records.find(record.id);
         if (known == m_records.end()) {
-            changes.push_back({EndpointChange::Kind::Added, record});
+            changes.push_back({EndpointChange::Kind::Added, record, {}});
         } else if (!known->second.isSameIncarnation(record)) {
-            changes.push_back({EndpointChange::Kind::Restarted, record});
+            changes.push_back({EndpointChange::Kind::Restarted, record, known->second});
         } else if (record.isLeaving && !known->second.isLeaving) {
-            changes.push_back({EndpointChange::Kind::Leaving, record});
+            changes.push_back({EndpointChange::Kind::Leaving, record, {}});
         }
         m_records[record.id] = record;
     }
@@ -60,7 +60,7 @@
             ++it;
             continue;
         }
-        changes.push_back({EndpointChange::Kind::Removed, it->second});
+        changes.push_back({EndpointChange::Kind::Removed, it->second, {}});
         it = m_records.erase(it);
     }
     return changes;
--- a/src/gateway/endpointdirectory.h
+++ b/src/gateway/endpointdirectory.h
@@ -56,6 +56,8 @@
     };
     Kind kind;
     EndpointRecord record;
+    /** The incarnation before, if `kind` is Restarted. */
+    EndpointRecord previous = {};
 };
 
 class EndpointDirectory
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -297,6 +297,7 @@
             break;
         case EndpointChange::Kind::Restarted:
             logChange("endpoint_restarted", change.record);
+            m_quarantine.noteEndpointEnded(change.previous.incarnationName(), m_loop.now());
             m_pool.closeIdleConnections(id);
             m_statistics.erase(id);
             break;
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -32,8 +32,6 @@
 constexpr int EVENT_GAPS_UNTIL_LOST = 3;
 /** A plain repeatable request without a response after its objective divided by this is sent to another endpoint. */
 constexpr int RESPONSE_TIMEOUT_DIVISOR = 2;
-/** Shorter silences are usual for an endpoint that is merely busy. */
-constexpr Duration MIN_LOGGED_SILENCE = milliseconds(500);
 /** Few streams last longer, even where their route's timeout allows it. */
 constexpr Duration TYPICAL_MAX_STREAM_DURATION = milliseconds(5000);
 
@@ -180,6 +178,7 @@
     const TimePoint now = m_gateway.loop().now();
     m_placement = placement;
     m_endpoint = *placement.endpoint;
+    m_incarnation = m_endpoint.incarnationName();
     m_placement.endpoint = nullptr;
     m_connection = std::move(connection);
     m_sentAt = now;
@@ -240,7 +239,7 @@
     if (!m_connection || !mayResend(AttemptOutcome::ResponseLost)) {
         return;
     }
-    logSilentAttempt();
+    recordSilence();
     m_gateway.statistics(m_endpoint.id).noteResult(EndpointResult::NoResponse, m_gateway.loop().now());
     m_gateway.metrics().count("cyclamenturn_resends", {{"reason", "silent"}});
     endAttempt(false);
@@ -275,6 +274,9 @@
     m_lastActivityAt = now;
     m_responseHead = head;
     m_responseTraits = m_gateway.messages().decodeResponse(head);
+    if (!m_responseTraits.isOtherInstance) {
+        m_gateway.quarantine().noteResponse(m_incarnation, m_sentAt);
+    }
     if (m_responseTraits.load) {
         m_gateway.statistics(m_endpoint.id).noteLoad(*m_responseTraits.load, now);
     }
@@ -396,7 +398,7 @@
         attemptFailed(AttemptOutcome::NotSent, EndpointResult::NotConnected, GatewayRefusal::NotReached);
         break;
     case ExchangeFailure::ConnectionLost:
-        m_gateway.quarantine().recordCrash(m_fingerprint, m_endpoint.incarnationName(), m_gateway.loop().now());
+        m_gateway.quarantine().recordCrash(m_fingerprint, m_incarnation, m_gateway.loop().now());
         m_gateway.metrics().count("cyclamenturn_crash_reports", {{"from", "own"}});
         logCrashEvidence("connection_lost");
         attemptFailed(AttemptOutcome::ResponseLost, EndpointResult::ConnectionLost, GatewayRefusal::EndpointLost);
@@ -419,9 +421,13 @@
         .field("crashes", m_gateway.quarantine().crashes(m_fingerprint, now));
 }
 
-void RequestFlow::logSilentAttempt() const
+void RequestFlow::recordSilence()
 {
-    if (m_connection && m_gateway.loop().now() - m_lastActivityAt >= MIN_LOGGED_SILENCE) {
+    const TimePoint now = m_gateway.loop().now();
+    const Duration enough = std::min(responseTimeout(), CrashQuarantine::SILENCE_TIME);
+    if (m_connection && m_connection->isConnected() && now - m_lastActivityAt >= enough) {
+        m_gateway.quarantine().recordSilence(m_fingerprint, m_incarnation, m_lastActivityAt, now);
+        m_gateway.metrics().count("cyclamenturn_crash_reports", {{"from", "own"}});
         logCrashEvidence("silence");
     }
 }
@@ -502,7 +508,7 @@
 void RequestFlow::deadlineReached()
 {
     const bool waiting = m_connection != nullptr && m_connection->isConnected();
-    logSilentAttempt();
+    recordSilence();
     endAttempt(false);
     giveUp(AttemptOutcome::ResponseLost,
         waiting || m_mayHaveRun ? GatewayRefusal::TimedOut : GatewayRefusal::TimedOutUnsent);
@@ -510,7 +516,7 @@
 
 void RequestFlow::callerDisconnected()
 {
-    logSilentAttempt();
+    recordSilence();
     endAttempt(false);
     finish(0, toString(GatewayRefusal::CallerDisconnected));
 }
--- a/src/gateway/requestflow.h
+++ b/src/gateway/requestflow.h
@@ -57,8 +57,9 @@
     /** Logs that the attempt's connection was lost or stayed silent, as evidence that the request may have crashed the
      * endpoint. */
     void logCrashEvidence(const char *evidence) const;
-    /** Logs the attempt in progress, if any, that is given up without a recent byte from its endpoint. */
-    void logSilentAttempt() const;
+    /** Records the attempt in progress, if any, as a possible crash when it is given up without a recent byte from its
+     * endpoint. */
+    void recordSilence();
     /** Returns the attempt's connection to the pool when it is reusable, and closes it otherwise. */
     void endAttempt(bool isReusable);
     /** Handles a failed attempt: sends the request to another endpoint, or ends it with `reason`. */
@@ -94,6 +95,8 @@
     /** Connection of the attempt in progress; null between attempts. */
     std::unique_ptr<HttpClientConnection> m_connection;
     EndpointRecord m_endpoint;
+    /** EndpointRecord::incarnationName() of m_endpoint. */
+    std::string m_incarnation;
     Placement m_placement;
     TimePoint m_sentAt;
     /** When the request was sent or the last byte of the response arrived. */
--- a/test/correctness/crashquarantine.cpp
+++ b/test/correctness/crashquarantine.cpp
@@ -68,3 +68,42 @@
     CHECK_FALSE(first.isSuspect(7, now));
     CHECK_FALSE(second.isSuspect(7, now));
 }
+
+TEST_CASE("an endpoint that falls silent during a run has crashed, unless it responds to a later request")
+{
+    CrashQuarantine table;
+    const TimePoint sentAt = at(0);
+    const TimePoint givenUpAt = at(50);
+    table.recordSilence(7, "desk-1", sentAt, givenUpAt);
+    CHECK(table.crashes(7, givenUpAt) == 0);
+    CHECK(table.reports(givenUpAt, 4, 0).reports.empty());
+    const TimePoint countsFrom = sentAt + CrashQuarantine::SILENCE_TIME;
+    CHECK(table.crashes(7, countsFrom) == 1);
+
+    table.noteResponse("desk-1", sentAt);
+    CHECK(table.crashes(7, countsFrom) == 1);
+    table.noteResponse("desk-1", givenUpAt + milliseconds(1));
+    CHECK(table.crashes(7, countsFrom) == 0);
+    CHECK(table.reports(countsFrom, 4, 0).reports.empty());
+}
+
+TEST_CASE("a response of an endpoint's successor under the same id doesn't withdraw the crash")
+{
+    CrashQuarantine table;
+    table.recordCrash(7, "desk-1", at(0));
+    table.noteResponse("desk-1", at(500));
+    CHECK(table.crashes(7, at(500)) == 0);
+    table.noteEndpointEnded("desk-1", at(700));
+    table.noteResponse("desk-1", at(600)); // was sent before the restart was known
+    CHECK(table.crashes(7, at(800)) == 1);
+}
+
+TEST_CASE("a report from another process doesn't count at one that has received a later response of the endpoint")
+{
+    CrashQuarantine table;
+    table.noteResponse("desk-1", at(500));
+    table.merge({7, "desk-1", at(400)}, at(900));
+    CHECK(table.crashes(7, at(900)) == 0);
+    table.merge({7, "desk-1", at(1600)}, at(1900));
+    CHECK(table.crashes(7, at(1900)) == 1);
+}
