A request that was quarantined meanwhile isn't resent

What callers saw: a request with two known crashes was sent to two endpoints more within one attempt. Cause: the quarantine was checked at admission only. An attempt that recorded the third crash, or that heard of it while it waited, went on to the next endpoint. Change: mayResend() refuses a quarantined request; the caller gets 502, since it may have run.

--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -458,6 +458,10 @@
     if (chooseResend(*m_admitted.route, outcome, state) == ResendChoice::GiveUp) {
         return false;
     }
+    if (m_gateway.quarantine().isQuarantined(m_fingerprint, m_gateway.loop().now())) {
+        m_gateway.metrics().count("cyclamenturn_resends_refused", {{"reason", "quarantined"}});
+        return false;
+    }
     if (outcome == AttemptOutcome::NotSent) {
         return true;
     }
--- a/src/gateway/requestflow.h
+++ b/src/gateway/requestflow.h
@@ -64,7 +64,8 @@
     void endAttempt(bool isReusable);
     /** Handles a failed attempt: sends the request to another endpoint, or ends it with `reason`. */
     void attemptFailed(AttemptOutcome outcome, EndpointResult result, GatewayRefusal reason);
-    /** Whether the request may be sent again. Takes one retry from the retry budget, unless nothing was sent. */
+    /** Whether the request may be sent again. Takes one retry from the retry budget, unless nothing was sent. False for
+     * a request that was quarantined meanwhile. */
     bool mayResend(AttemptOutcome outcome);
     /** Ends the request without a resend: aborts a stream that has started, or else refuses the request. */
     void giveUp(AttemptOutcome outcome, GatewayRefusal reason);
--- a/test/error/processes_gateway.py
+++ b/test/error/processes_gateway.py
@@ -167,20 +167,28 @@
         assert status == 503 and "Retry-After" in headers and "X-Server-Seal" not in headers
 
 
-def request_that_crashes_endpoints_is_quarantined():
-    def crash(connection, request):
-        if "/boom" in request.target:
-            return False
-        connection.sendall(sealed_response(request))
-        return True
+def crash_on_boom(connection, request):
+    if "/boom" in request.target:
+        return False
+    connection.sendall(sealed_response(request))
+    return True
 
-    with Fleet(desk=crash, copies=8) as fleet:
+
+def request_that_crashes_endpoints_is_quarantined():
+    with Fleet(desk=crash_on_boom, copies=8) as fleet:
         statuses = [fleet.gateway.call("POST", "/once/boom", b"the same")[0] for _ in range(8)]
         assert statuses[:3] == [502] * 3 and set(statuses[3:]) == {503}, statuses
         assert len(fleet.requests()) == 3
         assert fleet.gateway.call("POST", "/once/other", b"the same")[0] == 200
 
 
+def request_is_not_resent_after_the_crash_that_quarantines_it():
+    with Fleet(desk=crash_on_boom, copies=8) as fleet:
+        statuses = [fleet.gateway.call("POST", "/plain/boom", b"the same")[0] for _ in range(3)]
+        assert statuses == [502, 502, 503], statuses
+        assert len(fleet.requests()) == 3
+
+
 def idempotent_request_succeeds_when_an_endpoint_does_not_respond():
     first_received = threading.Event()
 
@@ -403,7 +411,7 @@
 def main():
     tests = [item for name, item in globals().items()
              if callable(item) and getattr(item, "__module__", "") == "__main__"
-             and name not in ("main", "answer_ok", "Fleet")]
+             and name not in ("main", "answer_ok", "crash_on_boom", "Fleet")]
     failed = 0
     for test in tests:
         try:
