Only a completed request is cleared of a suspicion

What callers saw: as before; where endpoints fail part of their requests, a request that crashes endpoints could go on without an end. Cause: any final response cleared a suspect, a failure response and a stream that ended within an event included. Neither shows that the request can run. Evidence: failure_response_does_not_clear_a_crash_suspect got 502 instead of 503 for the request after the third crash before. Change: only a complete response with a success status clears.

--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -344,12 +344,12 @@
     }
     if (m_isEventStream) {
         statistics.noteResult(EndpointResult::Succeeded, now);
-        m_gateway.quarantine().clearSuspect(m_fingerprint);
         if (!m_splitter.rest().empty()) {
             attemptFailed(
                 AttemptOutcome::ResponseLost, EndpointResult::FailureResponse, GatewayRefusal::EndpointMalformed);
             return;
         }
+        m_gateway.quarantine().clearSuspect(m_fingerprint);
         endAttempt(isReusable);
         finishStream();
         return;
@@ -386,7 +386,9 @@
         finish(m_responseHead.status, "stream_cut");
         return;
     }
-    m_gateway.quarantine().clearSuspect(m_fingerprint);
+    if (isSuccess(m_responseHead.status)) {
+        m_gateway.quarantine().clearSuspect(m_fingerprint);
+    }
     respond({m_responseHead.status, m_responseHead.reason, endToEndFields(m_responseHead.fields)}, m_responseBody,
         isFailure ? "endpoint_failure" : "served");
 }
--- a/test/error/processes_gateway.py
+++ b/test/error/processes_gateway.py
@@ -189,6 +189,21 @@
         assert len(fleet.requests()) == 3
 
 
+def failure_response_does_not_clear_a_crash_suspect():
+    count = 0
+
+    def fail_third_request_and_drop_others(connection, request):
+        nonlocal count
+        count += 1
+        if count == 3:
+            connection.sendall(sealed_response(request, 500, b"failed"))
+        return count == 3
+
+    with Fleet(desk=fail_third_request_and_drop_others, copies=8) as fleet:
+        statuses = [fleet.gateway.call("POST", "/once/boom", b"the same")[0] for _ in range(5)]
+        assert statuses == [502, 502, 500, 502, 503], statuses
+
+
 def idempotent_request_succeeds_when_an_endpoint_does_not_respond():
     first_received = threading.Event()
 
