A suspect that completed at one gateway stays cleared at all

What callers saw: a request that crashes had interrupted by chance, and that completed since, could still be refused as quarantined. Cause: clearing was forgotten apart: the gateway at which the request completed dropped its crashes, and the next digest of any other brought them back. Entries and agents keep clearances too, but don't exchange them. Why it works: crashes only add and a clearance only moves forward, so all processes arrive at the same state in whatever order the messages come.

--- a/src/agentcore.cpp
+++ b/src/agentcore.cpp
@@ -541,7 +541,7 @@
         const Duration runTime = now - running.startedAt + running.earlierRunTime;
         m_runTimes[call.className].add(runTime);
         m_allRunTimes.add(runTime);
-        m_quarantine.clearSuspect(call.fingerprint);
+        m_quarantine.clearSuspect(call.fingerprint, now);
         m_endpointDownUntil.reset();
         if (call.key) {
             m_keys.setFinished(call.key->value, KeyState::Ended);
--- a/src/crashquarantine.cpp
+++ b/src/crashquarantine.cpp
@@ -8,6 +8,25 @@
 namespace Cyclamenturn
 {
 
+namespace
+{
+
+/** Removes items beyond `maxCount`, beginning at a random place; `draw` is in [0, 1). Returns how many were removed. */
+template<typename Item>
+std::size_t resizeByLot(std::vector<Item> &items, std::size_t maxCount, double draw)
+{
+    if (items.size() <= maxCount) {
+        return 0;
+    }
+    const std::size_t removed = items.size() - maxCount;
+    const auto first = static_cast<std::ptrdiff_t>(draw * static_cast<double>(items.size()));
+    std::rotate(items.begin(), items.begin() + first, items.end());
+    items.resize(maxCount);
+    return removed;
+}
+
+}
+
 void CrashQuarantine::recordCrash(std::uint64_t fingerprint, const std::string &endpoint, TimePoint now)
 {
     add(fingerprint, {endpoint, now, now, true}, now);
@@ -30,9 +49,44 @@
     m_liveness[endpoint] = {now, true};
 }
 
-void CrashQuarantine::clearSuspect(std::uint64_t fingerprint)
+void CrashQuarantine::clearSuspect(std::uint64_t fingerprint, TimePoint now)
 {
-    m_suspects.erase(fingerprint);
+    if (m_suspects.count(fingerprint) != 0) {
+        clear(fingerprint, {now, true});
+    }
+}
+
+void CrashQuarantine::merge(const ClearedSuspect &cleared, TimePoint now)
+{
+    const bool isCurrent = cleared.at + QUARANTINE_TIME > now && cleared.at <= now;
+    if (isCurrent && (m_cleared.size() < MAX_SUSPECTS || m_suspects.count(cleared.fingerprint) != 0)) {
+        clear(cleared.fingerprint, {cleared.at, false});
+    }
+}
+
+void CrashQuarantine::clear(std::uint64_t fingerprint, const Clearance &clearance)
+{
+    Clearance &known = m_cleared[fingerprint];
+    if (clearance.at > known.at) {
+        known = clearance;
+    }
+    const auto found = m_suspects.find(fingerprint);
+    if (found == m_suspects.end()) {
+        return;
+    }
+    auto &crashes = found->second.crashes;
+    crashes.erase(std::remove_if(crashes.begin(), crashes.end(),
+                      [this, fingerprint](const Crash &crash) { return isCleared(fingerprint, crash); }),
+        crashes.end());
+    if (crashes.empty()) {
+        m_suspects.erase(found);
+    }
+}
+
+bool CrashQuarantine::isCleared(std::uint64_t fingerprint, const Crash &crash) const
+{
+    const auto found = m_cleared.find(fingerprint);
+    return found != m_cleared.end() && crash.at <= found->second.at;
 }
 
 void CrashQuarantine::merge(const CrashReport &report, TimePoint now)
@@ -46,6 +100,9 @@
 
 void CrashQuarantine::add(std::uint64_t fingerprint, const Crash &crash, TimePoint now)
 {
+    if (isCleared(fingerprint, crash)) {
+        return;
+    }
     if (m_suspects.size() >= MAX_SUSPECTS) {
         expire(now);
     }
@@ -134,13 +191,7 @@
     }
     CrashReportSelection out;
     const auto append = [&out, draw](std::vector<CrashReport> &reports, std::size_t end) {
-        const std::size_t room = end - std::min(end, out.reports.size());
-        if (reports.size() > room) {
-            const auto first = static_cast<std::ptrdiff_t>(draw * static_cast<double>(reports.size()));
-            std::rotate(reports.begin(), reports.begin() + first, reports.end());
-            out.leftOut += reports.size() - room;
-            reports.resize(room);
-        }
+        out.leftOut += resizeByLot(reports, end - std::min(end, out.reports.size()), draw);
         out.reports.insert(out.reports.end(), reports.begin(), reports.end());
     };
     append(quarantined, maxCount / 2);
@@ -149,6 +200,18 @@
     return out;
 }
 
+std::vector<ClearedSuspect> CrashQuarantine::clearedSuspects(TimePoint now, std::size_t maxCount, double draw) const
+{
+    std::vector<ClearedSuspect> out;
+    for (const auto &[fingerprint, clearance] : m_cleared) {
+        if (clearance.isOwn && now < clearance.at + OWN_REPORT_TIME) {
+            out.push_back({fingerprint, clearance.at});
+        }
+    }
+    resizeByLot(out, maxCount, draw);
+    return out;
+}
+
 void CrashQuarantine::expire(TimePoint now)
 {
     for (auto it = m_suspects.begin(); it != m_suspects.end();) {
@@ -158,6 +221,9 @@
         }
         it = m_suspects.erase(it);
     }
+    for (auto it = m_cleared.begin(); it != m_cleared.end();) {
+        it = it->second.at + QUARANTINE_TIME > now ? std::next(it) : m_cleared.erase(it);
+    }
     for (auto it = m_liveness.begin(); it != m_liveness.end();) {
         it = it->second.respondedAt + QUARANTINE_TIME > now ? std::next(it) : m_liveness.erase(it);
     }
--- a/src/crashquarantine.h
+++ b/src/crashquarantine.h
@@ -5,6 +5,7 @@
  */
 #pragma once
 
+#include "clearedsuspect.h"
 #include "crashreport.h"
 #include "timepoint.h"
 
@@ -69,13 +70,15 @@
      * the same id.
      */
     void noteEndpointEnded(const std::string &endpoint, TimePoint now);
-    /** Removes a fingerprint after a run that completed. */
-    void clearSuspect(std::uint64_t fingerprint);
+    /** Removes a fingerprint after a run that completed. Reports of earlier crashes are ignored from then on. */
+    void clearSuspect(std::uint64_t fingerprint, TimePoint now);
     /**
      * Adds a crash reported by another process. Ignores crashes more than QUARANTINE_TIME in the past or in the future,
      * and new suspects if the table is full.
      */
     void merge(const CrashReport &report, TimePoint now);
+    /** Applies a clearance by another process. */
+    void merge(const ClearedSuspect &cleared, TimePoint now);
 
     bool isQuarantined(std::uint64_t fingerprint, TimePoint now) const;
     bool isSuspect(std::uint64_t fingerprint, TimePoint now) const;
@@ -89,6 +92,8 @@
      * 1) that varies the selection when there are too many.
      */
     CrashReportSelection reports(TimePoint now, std::size_t maxCount, double draw) const;
+    /** Returns at most `maxCount` suspects that this process cleared within OWN_REPORT_TIME, selected by `draw`. */
+    std::vector<ClearedSuspect> clearedSuspects(TimePoint now, std::size_t maxCount, double draw) const;
     std::size_t suspectCount() const
     {
         return m_suspects.size();
@@ -106,6 +111,12 @@
         /** Whether this process recorded it, and not only others. */
         bool isOwn = false;
     };
+    struct Clearance
+    {
+        TimePoint at;
+        /** Whether this process cleared the suspect itself. */
+        bool isOwn = false;
+    };
     /** Signs that an endpoint still runs. */
     struct Liveness
     {
@@ -121,11 +132,15 @@
     };
     void add(std::uint64_t fingerprint, const Crash &crash, TimePoint now);
     void add(Suspect &suspect, const Crash &crash);
+    void clear(std::uint64_t fingerprint, const Clearance &clearance);
+    bool isCleared(std::uint64_t fingerprint, const Crash &crash) const;
     bool counts(const Crash &crash, TimePoint now) const;
 
     int m_crashLimit;
     Duration m_sameCrashWindow;
     std::unordered_map<std::uint64_t, Suspect> m_suspects;
+    /** By fingerprint; entries are kept for QUARANTINE_TIME, as long as a report of an earlier crash is accepted. */
+    std::unordered_map<std::uint64_t, Clearance> m_cleared;
     /** By endpoint; entries are kept for QUARANTINE_TIME after the latest response. */
     std::unordered_map<std::string, Liveness> m_liveness;
 };
--- a/src/entrycore.cpp
+++ b/src/entrycore.cpp
@@ -59,8 +59,8 @@
     Request &request = it->second;
     request.call = event.call;
     if (m_policy.quarantines && m_quarantine.isQuarantined(event.call.fingerprint, now)) {
-        finish(
-            request, refusalFor(request, RefusalReason::Quarantined, CrashQuarantine::QUARANTINE_TIME, now), actions);
+        finish(request, refusalFor(request, RefusalReason::Quarantined, CrashQuarantine::QUARANTINE_TIME, now), now,
+            actions);
         return;
     }
     attempt(request, now, actions);
@@ -103,7 +103,7 @@
         return;
     }
     const Duration retryAfter = std::max(request.retryAfter, DEFAULT_RETRY_AFTER);
-    finish(request, refusalFor(request, request.lastReason, retryAfter, now), actions);
+    finish(request, refusalFor(request, request.lastReason, retryAfter, now), now, actions);
 }
 
 Outcome EntryCore::refusalFor(
@@ -121,11 +121,11 @@
     return Outcome::notRun(reason, retryAfter);
 }
 
-void EntryCore::finish(const Request &request, const Outcome &outcome, Actions &actions)
+void EntryCore::finish(const Request &request, const Outcome &outcome, TimePoint now, Actions &actions)
 {
     if (outcome.kind() == OutcomeKind::Served) {
         m_retryBudget.noteServed(request.call.className);
-        m_quarantine.clearSuspect(request.call.fingerprint);
+        m_quarantine.clearSuspect(request.call.fingerprint, now);
     }
     const std::string callId = request.call.id;
     m_requests.erase(callId);
@@ -181,7 +181,7 @@
     case OutcomeKind::AlreadyRun:
         break;
     }
-    finish(request, outcome, actions);
+    finish(request, outcome, now, actions);
 }
 
 void EntryCore::handleRefusal(
@@ -198,7 +198,7 @@
         || outcome.reason() == RefusalReason::IssueTimeInFuture
         || (outcome.reason() == RefusalReason::DeadlineUnreachable && request.attempts >= MAX_UNREACHABLE_ATTEMPTS);
     if (isFinal) {
-        finish(request, refusalFor(request, outcome.reason(), request.retryAfter, now), actions);
+        finish(request, refusalFor(request, outcome.reason(), request.retryAfter, now), now, actions);
         return;
     }
     const bool leaving = outcome.reason() == RefusalReason::EndpointLeaving;
@@ -218,11 +218,11 @@
     const bool mayRepeat = request.call.idempotent && !quarantined && reason != RefusalReason::Cancelled;
     if (!mayRepeat) {
         const RefusalReason finalReason = quarantined ? RefusalReason::Quarantined : reason;
-        finish(request, Outcome::unknown(finalReason, DEFAULT_RETRY_AFTER), actions);
+        finish(request, Outcome::unknown(finalReason, DEFAULT_RETRY_AFTER), now, actions);
         return;
     }
     if (!m_retryBudget.tryTake(request.call.className)) {
-        finish(request, Outcome::unknown(RefusalReason::RetriesExhausted, DEFAULT_RETRY_AFTER), actions);
+        finish(request, Outcome::unknown(RefusalReason::RetriesExhausted, DEFAULT_RETRY_AFTER), now, actions);
         return;
     }
     const bool agentSilent = reason == RefusalReason::AgentSilent;
--- a/src/entrycore.h
+++ b/src/entrycore.h
@@ -91,7 +91,7 @@
     void handleInterruption(
         Request &request, const std::string &endpoint, RefusalReason reason, TimePoint now, Actions &actions);
     void finishWithoutEndpoint(Request &request, TimePoint now, Actions &actions);
-    void finish(const Request &request, const Outcome &outcome, Actions &actions);
+    void finish(const Request &request, const Outcome &outcome, TimePoint now, Actions &actions);
     Outcome refusalFor(
         const Request &request, RefusalReason reason, std::optional<Duration> retryAfter, TimePoint now) const;
     /** The time after which no attempt of the request may start. */
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -96,6 +96,8 @@
     }
     auto selection = m_quarantine.reports(m_loop.now(), PeerDigest::MAX_CRASHES, randomFraction());
     out.crashes = std::move(selection.reports);
+    out.clearedSuspects
+        = m_quarantine.clearedSuspects(m_loop.now(), PeerDigest::MAX_CLEARED_SUSPECTS, randomFraction());
     m_metrics.set("cyclamenturn_crash_suspects", {}, static_cast<double>(m_quarantine.suspectCount()));
     m_metrics.count("cyclamenturn_crash_reports_left_out", {}, static_cast<double>(selection.leftOut));
     return out;
@@ -106,6 +108,9 @@
     m_placement.split().setPeerDemand(m_peers.demand());
     m_store.setHasPeers(true);
     m_store.handlePeerConfigurationRevision(digest.configurationRevision);
+    for (const auto &cleared : digest.clearedSuspects) {
+        m_quarantine.merge(cleared, m_loop.now());
+    }
     for (const auto &report : digest.crashes) {
         m_quarantine.merge(report, m_loop.now());
         m_metrics.count("cyclamenturn_crash_reports", {{"from", "peer"}});
--- a/src/gateway/peerdigest.cpp
+++ b/src/gateway/peerdigest.cpp
@@ -18,6 +18,11 @@
 /** Limit that keeps a digest well within one packet. */
 constexpr std::size_t MAX_ENDPOINT_REQUESTS = 96;
 
+Poco::UInt32 ageMs(TimePoint at, TimePoint now)
+{
+    return static_cast<Poco::UInt32>(std::max<std::int64_t>(0, toMilliseconds(now - at)));
+}
+
 }
 
 std::uint32_t endpointHash(const std::string &endpointId)
@@ -43,8 +48,13 @@
     out << static_cast<Poco::UInt8>(crashCount);
     for (std::size_t i = 0; i < crashCount; ++i) {
         const CrashReport &report = digest.crashes[i];
-        const auto ageMs = static_cast<Poco::UInt32>(std::max<std::int64_t>(0, toMilliseconds(now - report.at)));
-        out << Poco::UInt64(report.fingerprint) << ageMs << report.endpoint;
+        out << Poco::UInt64(report.fingerprint) << ageMs(report.at, now) << report.endpoint;
+    }
+    const std::size_t clearedCount = std::min(digest.clearedSuspects.size(), PeerDigest::MAX_CLEARED_SUSPECTS);
+    out << static_cast<Poco::UInt8>(clearedCount);
+    for (std::size_t i = 0; i < clearedCount; ++i) {
+        const ClearedSuspect &cleared = digest.clearedSuspects[i];
+        out << Poco::UInt64(cleared.fingerprint) << ageMs(cleared.at, now);
     }
     out.flush();
     return stream.str();
@@ -86,13 +96,21 @@
     in >> count;
     for (int i = 0; i < count && in.good(); ++i) {
         Poco::UInt64 fingerprint = 0;
-        Poco::UInt32 ageMs = 0;
+        Poco::UInt32 age = 0;
         std::string endpoint;
-        in >> fingerprint >> ageMs;
+        in >> fingerprint >> age;
         if (!readText(in, endpoint)) {
             return std::nullopt;
         }
-        out.crashes.push_back({fingerprint, endpoint, now - milliseconds(ageMs)});
+        out.crashes.push_back({fingerprint, endpoint, now - milliseconds(age)});
+    }
+    count = 0;
+    in >> count;
+    for (int i = 0; i < count && in.good(); ++i) {
+        Poco::UInt64 fingerprint = 0;
+        Poco::UInt32 age = 0;
+        in >> fingerprint >> age;
+        out.clearedSuspects.push_back({fingerprint, now - milliseconds(age)});
     }
     if (!in.good() || out.name.empty()) {
         return std::nullopt;
--- a/src/gateway/peerdigest.h
+++ b/src/gateway/peerdigest.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "clearedsuspect.h"
 #include "crashreport.h"
 #include "workloadsplit.h"
 
@@ -33,8 +34,9 @@
 
 struct PeerDigest
 {
-    /** Limit that keeps a digest within one packet. */
+    /** Limits that keep a digest within one packet. */
     static constexpr std::size_t MAX_CRASHES = 32;
+    static constexpr std::size_t MAX_CLEARED_SUSPECTS = 16;
 
     std::string name;
     /** Start time of the process in microseconds of its VM's clock; a different value shows a restart. */
@@ -47,12 +49,13 @@
     /** Endpoints at which the gateway has requests. */
     std::vector<EndpointRequests> endpointRequests;
     std::vector<CrashReport> crashes;
+    std::vector<ClearedSuspect> clearedSuspects;
 };
 
 /** The hash that identifies an endpoint in digests. */
 std::uint32_t endpointHash(const std::string &endpointId);
 
-/** Serializes a digest. Times of crashes are written as ages before `now`, since the clocks of VMs differ. */
+/** Serializes a digest. Times are written as ages before `now`, since the clocks of VMs differ. */
 std::string encodeDigest(const PeerDigest &digest, TimePoint now);
 /** Parses a digest. Returns nothing if the bytes aren't a complete digest of this version. */
 std::optional<PeerDigest> decodeDigest(const std::string &bytes, TimePoint now);
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -349,7 +349,7 @@
                 AttemptOutcome::ResponseLost, EndpointResult::FailureResponse, GatewayRefusal::EndpointMalformed);
             return;
         }
-        m_gateway.quarantine().clearSuspect(m_fingerprint);
+        m_gateway.quarantine().clearSuspect(m_fingerprint, now);
         endAttempt(isReusable);
         finishStream();
         return;
@@ -387,7 +387,7 @@
         return;
     }
     if (isSuccess(m_responseHead.status)) {
-        m_gateway.quarantine().clearSuspect(m_fingerprint);
+        m_gateway.quarantine().clearSuspect(m_fingerprint, now);
     }
     respond({m_responseHead.status, m_responseHead.reason, endToEndFields(m_responseHead.fields)}, m_responseBody,
         isFailure ? "endpoint_failure" : "served");
--- a/test/correctness/crashquarantine.cpp
+++ b/test/correctness/crashquarantine.cpp
@@ -42,7 +42,7 @@
 {
     CrashQuarantine table;
     table.recordCrash(7, "chat-1", at(0));
-    table.clearSuspect(7);
+    table.clearSuspect(7, at(1000));
     table.recordCrash(7, "chat-2", at(5000));
     CHECK_FALSE(table.isQuarantined(7, at(5000)));
     table.merge(CrashReport{8, "chat-1", at(0)}, at(0) + CrashQuarantine::QUARANTINE_TIME);
--- a/test/correctness/peerdigest.cpp
+++ b/test/correctness/peerdigest.cpp
@@ -24,6 +24,7 @@
     out.demand = {120, 3};
     out.endpointRequests = {{9, inFlight, 1000}};
     out.crashes = {{42, "e", START - milliseconds(500)}};
+    out.clearedSuspects = {{43, START - milliseconds(200)}};
     return out;
 }
 
@@ -40,6 +41,7 @@
     CHECK(received->demand == sent.demand);
     CHECK(received->endpointRequests == sent.endpointRequests);
     REQUIRE(received->crashes.size() == 1);
+    CHECK(received->clearedSuspects == std::vector<ClearedSuspect>{{43, otherClock - milliseconds(200)}});
     CHECK(received->crashes[0] == CrashReport{42, "e", otherClock - milliseconds(500)});
 }
 
--- a/test/error/crashes_counted_apart.cpp
+++ b/test/error/crashes_counted_apart.cpp
@@ -42,6 +42,7 @@
         for (std::size_t sender = 0; sender < m_tables.size(); ++sender) {
             PeerDigest digest;
             digest.name = "g";
+            digest.clearedSuspects = m_tables[sender].clearedSuspects(now, PeerDigest::MAX_CLEARED_SUSPECTS, draw());
             digest.crashes = m_tables[sender].reports(now, PeerDigest::MAX_CRASHES, draw()).reports;
             const std::string bytes = encodeDigest(digest, now);
             for (std::size_t i = 0; i < DIGESTS_PER_ROUND; ++i) {
@@ -69,6 +70,9 @@
         const std::size_t receiver = m_nextPeer[sender]++ % m_tables.size();
         const auto digest = decodeDigest(bytes, now);
         REQUIRE(digest);
+        for (const auto &cleared : digest->clearedSuspects) {
+            m_tables[receiver].merge(cleared, now);
+        }
         for (const auto &report : digest->crashes) {
             m_tables[receiver].merge(report, now);
         }
@@ -114,3 +118,19 @@
     }
     CHECK(gateways.countQuarantined(CRASHING, now) == GATEWAYS);
 }
+
+TEST_CASE("a request that completed at one gateway isn't brought back by the reports of others")
+{
+    Gateways gateways(3);
+    gateways[0].recordCrash(CRASHING, "engine-0", at(0));
+    gateways[1].recordCrash(CRASHING, "engine-1", at(0));
+    gateways.exchange(at(300));
+    gateways[2].clearSuspect(CRASHING, at(400));
+    gateways.exchange(at(600));
+    gateways.exchange(at(900));
+    for (std::size_t i = 0; i < 3; ++i) {
+        CHECK_FALSE(gateways[i].isSuspect(CRASHING, at(900)));
+    }
+    gateways[0].recordCrash(CRASHING, "engine-2", at(2000));
+    CHECK(gateways[0].crashes(CRASHING, at(2000)) == 1);
+}
