A team's new key doesn't lift the quarantine of its request

What callers saw: nothing reported; found while looking for further ways in which a repeated request counts apart. Cause: the fingerprint contained the key. A team may hold several keys, and keys are replaced while requests come again, so equal requests of one caller had several fingerprints. Evidence: request_that_crashes_endpoints_stays_quarantined_under_another_key_of_its_team got 502 instead of 503 under the second key before. Change: the fingerprint contains the team's name, which is empty on public routes. Result: all cases of processes_gateway passed.

--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -91,7 +91,7 @@
     }
     m_admitted = std::get<AdmittedRequest>(result);
     m_service = chooseService(*m_admitted.route, m_gateway.randomFraction());
-    m_fingerprint = contentHash(m_request.head.target + "\n" + m_traits.key + "\n" + m_request.body);
+    m_fingerprint = contentHash(m_request.head.target + "\n" + m_admitted.team + "\n" + m_request.body);
     if (m_gateway.quarantine().isQuarantined(m_fingerprint, now)) {
         refuse(GatewayRefusal::Quarantined);
         return;
--- a/test/error/processes_gateway.py
+++ b/test/error/processes_gateway.py
@@ -189,6 +189,15 @@
         assert len(fleet.requests()) == 3
 
 
+def request_that_crashes_endpoints_stays_quarantined_under_another_key_of_its_team():
+    with Fleet(desk=crash_on_boom, copies=8) as fleet:
+        fleet.store.put("op/config", configuration(4, ROUTES, keys=("key-1", "key-2")))
+        eventually(lambda: fleet.gateway.call("GET", "/plain/x", Authorization="Bearer key-2")[0] == 200, "key-2")
+        statuses = [fleet.gateway.call("POST", "/once/boom", b"the same")[0] for _ in range(3)]
+        statuses.append(fleet.gateway.call("POST", "/once/boom", b"the same", Authorization="Bearer key-2")[0])
+        assert statuses == [502, 502, 502, 503], statuses
+
+
 def failure_response_does_not_clear_a_crash_suspect():
     count = 0
 
