--- a/test/soak/crashload.py
+++ b/test/soak/crashload.py
@@ -198,17 +198,17 @@
 
 
 class InnocentCaller(threading.Thread):
-    """Sends requests with a body of their own, each again once after a failure, as callers do."""
+    """Sends requests with a body of their own, each again after a failure, as callers do."""
 
-    def __init__(self, fleet, seed, stop):
+    def __init__(self, fleet, seed, repeats, stop):
         super().__init__(daemon=True)
-        self.fleet, self.random, self.stop = fleet, random.Random(seed), stop
+        self.fleet, self.random, self.repeats, self.stop = fleet, random.Random(seed), repeats, stop
 
     def run(self):
         while not self.stop.is_set():
             route_name = self.random.choice(("check", "draft", "draft", "send", "look"))
             body = b"innocent " + os.urandom(8).hex().encode()
-            for _ in range(2):
+            for _ in range(1 + self.repeats):
                 status, text = self.fleet.send(self.random.choice(self.fleet.gateways), route_name, body)
                 self.fleet.record.add_innocent(status, text)
                 may_repeat = status == 503 or (route_name != "send" and status != 200)
@@ -221,10 +221,11 @@
 class CrashingCaller(threading.Thread):
     """Sends one crashing request over and over: first several at the same time, then one or two at intervals."""
 
-    def __init__(self, fleet, seed, route_name, delay_s, stop):
+    def __init__(self, fleet, seed, number, stop):
         super().__init__(daemon=True)
         self.fleet, self.random, self.stop = fleet, random.Random(seed), stop
-        self.route_name, self.delay_s, self.body = route_name, delay_s, CRASHING_BODY + b" " + route_name.encode()
+        self.route_name, self.delay_s = ("draft", "send", "check", "look")[number % 4], 1.0 + 1.5 * (number % 4)
+        self.body = f"{CRASHING_BODY.decode()} {self.route_name} {number // 4}".encode()
 
     def run(self):
         self.stop.wait(self.delay_s)
@@ -267,9 +268,8 @@
     fleet, stop = Fleet(arguments), threading.Event()
     try:
         seed = arguments.seed * 1000
-        threads = [InnocentCaller(fleet, seed + i, stop) for i in range(INNOCENT_CALLERS)]
-        threads += [CrashingCaller(fleet, seed + 500 + i, name, 1.0 + 1.5 * i, stop)
-                    for i, name in enumerate(("draft", "send", "check", "look"))]
+        threads = [InnocentCaller(fleet, seed + i, arguments.repeats, stop) for i in range(INNOCENT_CALLERS)]
+        threads += [CrashingCaller(fleet, seed + 500 + i, i, stop) for i in range(arguments.crashing)]
         if arguments.faults:
             fleet.relay.loss = 0.2
             threads.append(threading.Thread(target=inject_gateway_faults, args=(fleet, stop)))
@@ -308,6 +308,8 @@
     parser.add_argument("--gateways", type=int, default=12)
     parser.add_argument("--engines", type=int, default=12)
     parser.add_argument("--desks", type=int, default=3)
+    parser.add_argument("--crashing", type=int, default=4, help="number of different crashing requests")
+    parser.add_argument("--repeats", type=int, default=1, help="how often callers repeat an innocent request")
     parser.add_argument("--seconds", type=float, default=18)
     parser.add_argument("--first-port", type=int, default=FIRST_PORT)
     violations = run(parser.parse_args())
--- a/test/soak/crashrecord.py
+++ b/test/soak/crashrecord.py
@@ -40,7 +40,7 @@
         return not any(begin <= at <= end + STABLE_S for begin, end in self.disturbances[gateway])
 
     def summary(self):
-        crashes = collections.Counter(crash.body.decode() for crash in self.crashes)
+        crashes = collections.Counter(crash.body.decode().split(" ", 1)[1] for crash in self.crashes)
         return (f"ends {dict(crashes)}, innocent responses by status {dict(sorted(self.innocents.items()))}, "
                 f"{self.quarantined_innocents} of them quarantined")
 
