A crash counts only for the request that most likely caused it

Cause: every request in progress at a crash was blamed for it, and one sent to an endpoint that had crashed before was blamed too. Change: a crash has one cause, so it counts for a request only if no other one that it interrupted has as many crashes; one crash beyond the limit bounds the doubt. A request isn't blamed for an endpoint whose crash was known before it was sent. Recent reports go first in the digests, since the crashes of a storm didn't reach all gateways in time. In the load, an endpoint that ends by reset refuses connections while it is down.

--- a/src/crashquarantine.cpp
+++ b/src/crashquarantine.cpp
@@ -46,7 +46,18 @@
 
 void CrashQuarantine::noteEndpointEnded(const std::string &endpoint, TimePoint now)
 {
-    m_liveness[endpoint] = {now, true};
+    Liveness &liveness = m_liveness[endpoint];
+    liveness.respondedAt = std::min(liveness.respondedAt, now);
+    liveness.crashedAt = now;
+    liveness.crashCountsFrom = now;
+    liveness.hasEnded = true;
+}
+
+bool CrashQuarantine::hasCrashedBefore(const std::string &endpoint, TimePoint sentAt) const
+{
+    const auto found = m_liveness.find(endpoint);
+    return found != m_liveness.end() && found->second.crashedAt > found->second.respondedAt
+        && found->second.crashCountsFrom < sentAt;
 }
 
 void CrashQuarantine::clearSuspect(std::uint64_t fingerprint, TimePoint now)
@@ -103,6 +114,10 @@
     if (isCleared(fingerprint, crash)) {
         return;
     }
+    Liveness &liveness = m_liveness[crash.endpoint];
+    const bool isFirst = liveness.crashedAt <= liveness.respondedAt;
+    liveness.crashedAt = isFirst ? crash.at : std::min(liveness.crashedAt, crash.at);
+    liveness.crashCountsFrom = isFirst ? crash.countsFrom : std::min(liveness.crashCountsFrom, crash.countsFrom);
     if (m_suspects.size() >= MAX_SUSPECTS) {
         expire(now);
     }
@@ -113,11 +128,8 @@
 
 void CrashQuarantine::add(Suspect &suspect, const Crash &crash)
 {
-    const auto isSameCrash = [this, &crash](const Crash &other) {
-        return other.endpoint == crash.endpoint && other.at - crash.at < m_sameCrashWindow
-            && crash.at - other.at < m_sameCrashWindow;
-    };
-    const auto known = std::find_if(suspect.crashes.begin(), suspect.crashes.end(), isSameCrash);
+    const auto known = std::find_if(suspect.crashes.begin(), suspect.crashes.end(),
+        [this, &crash](const Crash &other) { return isSameCrash(crash.endpoint, crash.at, other); });
     if (known != suspect.crashes.end()) {
         // A report grows a little younger with each process that passes it on, and would otherwise never expire.
         known->at = crash.at - known->at < CRASH_REPORT_WINDOW ? std::min(known->at, crash.at) : crash.at;
@@ -139,9 +151,34 @@
     return now >= crash.countsFrom && !hasRespondedSince;
 }
 
+bool CrashQuarantine::isSameCrash(const std::string &endpoint, TimePoint at, const Crash &crash) const
+{
+    return crash.endpoint == endpoint && crash.at - at < m_sameCrashWindow && at - crash.at < m_sameCrashWindow;
+}
+
+bool CrashQuarantine::isDisputed(const CrashReport &report, int crashCount, TimePoint now) const
+{
+    return std::any_of(m_suspects.begin(), m_suspects.end(), [&](const auto &item) {
+        const auto &[fingerprint, suspect] = item;
+        const bool mayBeCause
+            = fingerprint != report.fingerprint && suspect.crashes.size() >= static_cast<std::size_t>(crashCount);
+        return mayBeCause && crashes(fingerprint, now) >= crashCount
+            && std::any_of(suspect.crashes.begin(), suspect.crashes.end(), [&](const Crash &crash) {
+                   return counts(crash, now) && isSameCrash(report.endpoint, report.at, crash);
+               });
+    });
+}
+
 bool CrashQuarantine::isQuarantined(std::uint64_t fingerprint, TimePoint now) const
 {
-    return crashes(fingerprint, now) >= m_crashLimit;
+    const auto reports = reportsOf(fingerprint, now);
+    const int crashCount = static_cast<int>(reports.size());
+    if (crashCount < m_crashLimit || crashCount >= m_crashLimit + DISPUTED_CRASHES) {
+        return crashCount >= m_crashLimit;
+    }
+    const auto undisputed = std::count_if(reports.begin(), reports.end(),
+        [&](const CrashReport &report) { return !isDisputed(report, crashCount, now); });
+    return undisputed >= m_crashLimit;
 }
 
 bool CrashQuarantine::isSuspect(std::uint64_t fingerprint, TimePoint now) const
@@ -170,23 +207,20 @@
 
 CrashReportSelection CrashQuarantine::reports(TimePoint now, std::size_t maxCount, double draw) const
 {
-    std::vector<CrashReport> quarantined;
-    std::vector<CrashReport> own;
-    std::vector<CrashReport> repeated;
+    std::vector<CrashReport> freshRepeated;
+    std::vector<CrashReport> freshOwn;
+    std::vector<CrashReport> olderRepeated;
+    std::vector<CrashReport> olderOwn;
     for (const auto &[fingerprint, suspect] : m_suspects) {
-        const int count = crashes(fingerprint, now);
+        const bool isRepeated = crashes(fingerprint, now) > 1;
         for (const auto &crash : suspect.crashes) {
-            const CrashReport report{fingerprint, crash.endpoint, crash.at};
-            if (!counts(crash, now)) {
+            const bool isFresh = now < crash.at + FRESH_REPORT_TIME;
+            const bool isOwnReport = crash.isOwn && now < crash.at + OWN_REPORT_TIME;
+            if (!counts(crash, now) || !(isRepeated || isOwnReport)) {
                 continue;
             }
-            if (count >= m_crashLimit) {
-                quarantined.push_back(report);
-            } else if (crash.isOwn && now < crash.at + OWN_REPORT_TIME) {
-                own.push_back(report);
-            } else if (count > 1) {
-                repeated.push_back(report);
-            }
+            auto &group = isRepeated ? (isFresh ? freshRepeated : olderRepeated) : (isFresh ? freshOwn : olderOwn);
+            group.push_back({fingerprint, crash.endpoint, crash.at});
         }
     }
     CrashReportSelection out;
@@ -194,9 +228,10 @@
         out.leftOut += resizeByLot(reports, end - std::min(end, out.reports.size()), draw);
         out.reports.insert(out.reports.end(), reports.begin(), reports.end());
     };
-    append(quarantined, maxCount / 2);
-    append(own, maxCount);
-    append(repeated, maxCount);
+    append(freshRepeated, maxCount / 2);
+    append(freshOwn, maxCount * 3 / 4);
+    append(olderRepeated, maxCount);
+    append(olderOwn, maxCount);
     return out;
 }
 
@@ -225,7 +260,8 @@
         it = it->second.at + QUARANTINE_TIME > now ? std::next(it) : m_cleared.erase(it);
     }
     for (auto it = m_liveness.begin(); it != m_liveness.end();) {
-        it = it->second.respondedAt + QUARANTINE_TIME > now ? std::next(it) : m_liveness.erase(it);
+        const TimePoint last = std::max(it->second.respondedAt, it->second.crashedAt);
+        it = last + QUARANTINE_TIME > now ? std::next(it) : m_liveness.erase(it);
     }
 }
 
--- a/src/crashquarantine.h
+++ b/src/crashquarantine.h
@@ -2,6 +2,9 @@
  * Detects requests that crash the endpoints on which they run. The fingerprint of each request that is running when an
  * endpoint crashes becomes a suspect; when the limit of crashes is reached, it is quarantined for QUARANTINE_TIME. A
  * resend with a new idempotency key has the same fingerprint. A suspect that completes is cleared.
+ *
+ * A crash interrupts innocent requests too, and those are often resent together with the one that caused it. Since each
+ * crash has one cause, it counts only for the request with the most crashes among those that it interrupted.
  */
 #pragma once
 
@@ -31,6 +34,11 @@
 public:
     /** Default number of crashes after which a fingerprint is quarantined. */
     static constexpr int CRASH_LIMIT = 2;
+    /**
+     * A request with this many crashes more than the limit is quarantined even if other requests may have caused them.
+     * It bounds the crashes by requests that always run together.
+     */
+    static constexpr int DISPUTED_CRASHES = 1;
     static constexpr Duration QUARANTINE_TIME = milliseconds(120000);
     static constexpr std::size_t MAX_SUSPECTS = 4096;
     /** Crashes stored for one fingerprint, enough for any limit. */
@@ -39,6 +47,8 @@
     static constexpr Duration SILENCE_TIME = milliseconds(500);
     /** How long a process reports a crash that it recorded, even if the request has no other crash. */
     static constexpr Duration OWN_REPORT_TIME = milliseconds(10000);
+    /** More recent crashes are reported before others, since few processes know them yet. */
+    static constexpr Duration FRESH_REPORT_TIME = milliseconds(1500);
 
     /**
      * Crash reports for the same fingerprint and endpoint within this time count as one crash, because several equal
@@ -80,6 +90,8 @@
     /** Applies a clearance by another process. */
     void merge(const ClearedSuspect &cleared, TimePoint now);
 
+    /** Whether a crash of `endpoint` before `sentAt` is known, which a request sent then can't have caused. */
+    bool hasCrashedBefore(const std::string &endpoint, TimePoint sentAt) const;
     bool isQuarantined(std::uint64_t fingerprint, TimePoint now) const;
     bool isSuspect(std::uint64_t fingerprint, TimePoint now) const;
     /** Returns the number of crashes that count for the fingerprint, 0 if it is not a suspect. */
@@ -87,9 +99,9 @@
     /** Returns the crashes that count for the fingerprint. */
     std::vector<CrashReport> reportsOf(std::uint64_t fingerprint, TimePoint now) const;
     /**
-     * Returns at most `maxCount` crashes to be sent to the other processes: those of quarantined requests, then those
-     * that this process recorded itself, then those of requests with several crashes. `draw` is a random number in [0,
-     * 1) that varies the selection when there are too many.
+     * Returns at most `maxCount` crashes to be sent to the other processes: those of requests with several crashes and
+     * those that this process recorded itself, recent ones first. `draw` is a random number in [0, 1) that varies the
+     * selection when there are too many.
      */
     CrashReportSelection reports(TimePoint now, std::size_t maxCount, double draw) const;
     /** Returns at most `maxCount` suspects that this process cleared within OWN_REPORT_TIME, selected by `draw`. */
@@ -117,11 +129,15 @@
         /** Whether this process cleared the suspect itself. */
         bool isOwn = false;
     };
-    /** Signs that an endpoint still runs. */
+    /** What is known about whether an endpoint still runs. */
     struct Liveness
     {
         /** When the latest request was sent to which the endpoint responded. */
         TimePoint respondedAt;
+        /** The earliest crash known since; not later than `respondedAt` if there is none. */
+        TimePoint crashedAt;
+        /** When that crash counted, which is later for a silent endpoint; see Crash::countsFrom. */
+        TimePoint crashCountsFrom;
         bool hasEnded = false;
     };
     struct Suspect
@@ -135,13 +151,16 @@
     void clear(std::uint64_t fingerprint, const Clearance &clearance);
     bool isCleared(std::uint64_t fingerprint, const Crash &crash) const;
     bool counts(const Crash &crash, TimePoint now) const;
+    bool isSameCrash(const std::string &endpoint, TimePoint at, const Crash &crash) const;
+    /** Whether another suspect with at least as many crashes was interrupted by the same crash. */
+    bool isDisputed(const CrashReport &report, int crashCount, TimePoint now) const;
 
     int m_crashLimit;
     Duration m_sameCrashWindow;
     std::unordered_map<std::uint64_t, Suspect> m_suspects;
     /** By fingerprint; entries are kept for QUARANTINE_TIME, as long as a report of an earlier crash is accepted. */
     std::unordered_map<std::uint64_t, Clearance> m_cleared;
-    /** By endpoint; entries are kept for QUARANTINE_TIME after the latest response. */
+    /** By endpoint; entries are kept for QUARANTINE_TIME after the latest response or crash. */
     std::unordered_map<std::string, Liveness> m_liveness;
 };
 
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -400,9 +400,7 @@
         attemptFailed(AttemptOutcome::NotSent, EndpointResult::NotConnected, GatewayRefusal::NotReached);
         break;
     case ExchangeFailure::ConnectionLost:
-        m_gateway.quarantine().recordCrash(m_fingerprint, m_incarnation, m_gateway.loop().now());
-        m_gateway.metrics().count("cyclamenturn_crash_reports", {{"from", "own"}});
-        logCrashEvidence("connection_lost");
+        recordLostConnection();
         attemptFailed(AttemptOutcome::ResponseLost, EndpointResult::ConnectionLost, GatewayRefusal::EndpointLost);
         break;
     case ExchangeFailure::Malformed:
@@ -423,11 +421,21 @@
         .field("crashes", m_gateway.quarantine().crashes(m_fingerprint, now));
 }
 
+void RequestFlow::recordLostConnection()
+{
+    if (!m_gateway.quarantine().hasCrashedBefore(m_incarnation, m_sentAt)) {
+        m_gateway.quarantine().recordCrash(m_fingerprint, m_incarnation, m_gateway.loop().now());
+        m_gateway.metrics().count("cyclamenturn_crash_reports", {{"from", "own"}});
+        logCrashEvidence("connection_lost");
+    }
+}
+
 void RequestFlow::recordSilence()
 {
     const TimePoint now = m_gateway.loop().now();
     const Duration enough = std::min(responseTimeout(), CrashQuarantine::SILENCE_TIME);
-    if (m_connection && m_connection->isConnected() && now - m_lastActivityAt >= enough) {
+    const bool isSilent = m_connection && m_connection->isConnected() && now - m_lastActivityAt >= enough;
+    if (isSilent && !m_gateway.quarantine().hasCrashedBefore(m_incarnation, m_sentAt)) {
         m_gateway.quarantine().recordSilence(m_fingerprint, m_incarnation, m_lastActivityAt, now);
         m_gateway.metrics().count("cyclamenturn_crash_reports", {{"from", "own"}});
         logCrashEvidence("silence");
--- a/src/gateway/requestflow.h
+++ b/src/gateway/requestflow.h
@@ -57,6 +57,8 @@
     /** Logs that the attempt's connection was lost or stayed silent, as evidence that the request may have crashed the
      * endpoint. */
     void logCrashEvidence(const char *evidence) const;
+    /** Records the attempt as a possible crash, unless its endpoint had crashed before it was sent. */
+    void recordLostConnection();
     /** Records the attempt in progress, if any, as a possible crash when it is given up without a recent byte from its
      * endpoint. */
     void recordSilence();
--- a/test/correctness/crashquarantine.cpp
+++ b/test/correctness/crashquarantine.cpp
@@ -107,3 +107,43 @@
     table.merge({7, "desk-1", at(1600)}, at(1900));
     CHECK(table.crashes(7, at(1900)) == 1);
 }
+
+TEST_CASE("a crash doesn't count for an innocent request when another one has more crashes")
+{
+    CrashQuarantine table(3, CrashQuarantine::QUARANTINE_TIME);
+    constexpr std::uint64_t INNOCENT = 8;
+    for (const char *endpoint : {"e1", "e2", "e3"}) {
+        table.recordCrash(7, endpoint, at(0));
+        table.recordCrash(INNOCENT, endpoint, at(0));
+    }
+    CHECK_FALSE(table.isQuarantined(INNOCENT, at(0)));
+    CHECK_FALSE(table.isQuarantined(7, at(0))); // either may be the cause
+    table.recordCrash(7, "e4", at(10));
+    CHECK(table.isQuarantined(7, at(10)));
+    CHECK_FALSE(table.isQuarantined(INNOCENT, at(10)));
+}
+
+TEST_CASE("requests that are always interrupted together are quarantined after a bounded number of crashes")
+{
+    CrashQuarantine table(3, CrashQuarantine::QUARANTINE_TIME);
+    for (const char *endpoint : {"e1", "e2", "e3", "e4"}) {
+        CHECK_FALSE(table.isQuarantined(7, at(0)));
+        table.recordCrash(7, endpoint, at(0));
+        table.recordCrash(8, endpoint, at(0));
+    }
+    CHECK(table.isQuarantined(7, at(0)));
+    CHECK(table.isQuarantined(8, at(0)));
+}
+
+TEST_CASE("a request isn't blamed for an endpoint that had crashed before it was sent")
+{
+    CrashQuarantine table;
+    table.recordCrash(7, "e1", at(100));
+    CHECK_FALSE(table.hasCrashedBefore("e1", at(50)));
+    CHECK(table.hasCrashedBefore("e1", at(150)));
+    table.noteResponse("e1", at(200));
+    CHECK_FALSE(table.hasCrashedBefore("e1", at(300)));
+    table.recordSilence(7, "e2", at(100), at(150));
+    CHECK_FALSE(table.hasCrashedBefore("e2", at(300)));
+    CHECK(table.hasCrashedBefore("e2", at(100) + CrashQuarantine::SILENCE_TIME + milliseconds(1)));
+}
--- a/test/error/gatewayfleet.py
+++ b/test/error/gatewayfleet.py
@@ -16,6 +16,8 @@
 import time
 
 DEFAULT_TIMEOUT_S = 10
+# How often a server checks whether it was closed.
+POLL_S = 0.05
 
 
 def free_port():
@@ -47,7 +49,7 @@
 class Server:
     """Accepts connections and calls `serve(connection, stream)` for each in its own thread."""
 
-    def __init__(self, serve):
+    def __init__(self, serve, port=0):
         self.open_connections = set()
 
         class Handler(socketserver.StreamRequestHandler):
@@ -61,10 +63,10 @@
                     self.open_connections.discard(inner.connection)
 
         socketserver.ThreadingTCPServer.allow_reuse_address = True
-        self.server = socketserver.ThreadingTCPServer(("127.0.0.1", 0), Handler)
+        self.server = socketserver.ThreadingTCPServer(("127.0.0.1", port), Handler)
         self.server.daemon_threads = True
         self.port = self.server.server_address[1]
-        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        threading.Thread(target=self.server.serve_forever, args=(POLL_S,), daemon=True).start()
 
     def close(self):
         self.server.shutdown()
--- a/test/soak/crashload.py
+++ b/test/soak/crashload.py
@@ -119,11 +119,15 @@
             # Behind a cut, only the gateways on the endpoint's side see the connections end.
             if self.fleet.end == "reset" or (self.fleet.end == "cut" and self.fleet.random.random() < 0.5):
                 reset_by_peer(connection)
+        if self.fleet.end == "reset":
+            self.server.close()
         threading.Timer(ENTRY_LAPSE_S, self.fleet.store.remove, (f"servers/{name}",)).start()
         threading.Timer(DOWN_S, self.restart).start()
 
     def restart(self):
         with self.lock:
+            if self.fleet.end == "reset":
+                self.server = Server(self.serve, self.server.port)
             self.incarnation += 1
             self.is_up = True
         self.register()
