--- a/src/crashquarantine.cpp
+++ b/src/crashquarantine.cpp
@@ -38,6 +38,16 @@
     add(fingerprint, {endpoint, now, std::max(now, silentSince + SILENCE_TIME), true}, now);
 }
 
+void CrashQuarantine::Liveness::noteCrash(const Crash &crash)
+{
+    if (crash.at <= respondedAt) {
+        return;
+    }
+    const bool isFirst = crashedAt <= respondedAt;
+    crashedAt = isFirst ? crash.at : std::min(crashedAt, crash.at);
+    crashCountsFrom = isFirst ? crash.countsFrom : std::min(crashCountsFrom, crash.countsFrom);
+}
+
 void CrashQuarantine::noteResponse(const std::string &endpoint, TimePoint sentAt)
 {
     Liveness &liveness = m_liveness[endpoint];
@@ -114,10 +124,7 @@
     if (isCleared(fingerprint, crash)) {
         return;
     }
-    Liveness &liveness = m_liveness[crash.endpoint];
-    const bool isFirst = liveness.crashedAt <= liveness.respondedAt;
-    liveness.crashedAt = isFirst ? crash.at : std::min(liveness.crashedAt, crash.at);
-    liveness.crashCountsFrom = isFirst ? crash.countsFrom : std::min(liveness.crashCountsFrom, crash.countsFrom);
+    m_liveness[crash.endpoint].noteCrash(crash);
     if (m_suspects.size() >= MAX_SUSPECTS) {
         expire(now);
     }
@@ -173,7 +180,7 @@
 {
     const auto reports = reportsOf(fingerprint, now);
     const int crashCount = static_cast<int>(reports.size());
-    if (crashCount < m_crashLimit || crashCount >= m_crashLimit + DISPUTED_CRASHES) {
+    if (crashCount < m_crashLimit || crashCount >= m_crashLimit + MAX_DISPUTED_CRASHES) {
         return crashCount >= m_crashLimit;
     }
     const auto undisputed = std::count_if(reports.begin(), reports.end(),
--- a/src/crashquarantine.h
+++ b/src/crashquarantine.h
@@ -38,7 +38,7 @@
      * A request with this many crashes more than the limit is quarantined even if other requests may have caused them.
      * It bounds the crashes by requests that always run together.
      */
-    static constexpr int DISPUTED_CRASHES = 1;
+    static constexpr int MAX_DISPUTED_CRASHES = 1;
     static constexpr Duration QUARANTINE_TIME = milliseconds(120000);
     static constexpr std::size_t MAX_SUSPECTS = 4096;
     /** Crashes stored for one fingerprint, enough for any limit. */
@@ -139,6 +139,8 @@
         /** When that crash counted, which is later for a silent endpoint; see Crash::countsFrom. */
         TimePoint crashCountsFrom;
         bool hasEnded = false;
+
+        void noteCrash(const Crash &crash);
     };
     struct Suspect
     {
