Gateway: log why a request was answered with a 3xx or 4xx

Before, refusals by the transport were neither logged nor counted, a 404 of an endpoint was logged as served, and the line of a 401 or 404 named the configuration's version only. None of it told a configuration that is old from one that says no.

Now a line of a 3xx or 4xx names method, host and path, whether the status came from an endpoint and with a seal, and the configuration's revision, era, source, age and the time since the store last answered about it. request_rejected is the line of the transport's refusals, store_era_changed and configuration_ignored are those of a store that was set back. The era is decoded from the store's responses; nothing decides by it yet.

--- a/src/gateway/admitrequest.cpp
+++ b/src/gateway/admitrequest.cpp
@@ -100,6 +100,12 @@
     return target.substr(0, target.find('?'));
 }
 
+std::string loggedPath(const HttpRequestHead &head)
+{
+    constexpr std::size_t MAX_LOGGED_BYTES = 80;
+    return std::string(requestedPath(head).substr(0, MAX_LOGGED_BYTES));
+}
+
 AdmissionResult admitRequest(
     const RoutingConfiguration *configuration, const HttpRequestHead &head, const RequestTraits &traits)
 {
--- a/src/gateway/admitrequest.h
+++ b/src/gateway/admitrequest.h
@@ -76,5 +76,7 @@
 std::string requestedHost(const HttpRequestHead &head);
 /** The request's target without the query. */
 std::string_view requestedPath(const HttpRequestHead &head);
+/** The beginning of the path, limited in length for log lines. */
+std::string loggedPath(const HttpRequestHead &head);
 
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,7 @@
  */
 #include "gateway.h"
 
+#include "admitrequest.h"
 #include "clock.h"
 #include "eventlog.h"
 #include "listreadplan.h"
@@ -57,6 +58,7 @@
           [this](const Address &address) { m_peers.addContact(address, m_loop.now()); })
     , m_incarnation(static_cast<std::uint64_t>(currentTime().time_since_epoch().count()))
 {
+    m_callerServer.setRejectionHandler([this](const RejectedRequest &request) { handleRejection(request); });
 }
 
 Gateway::~Gateway() = default;
@@ -215,6 +217,20 @@
     }
 }
 
+void Gateway::handleRejection(const RejectedRequest &request)
+{
+    m_metrics.count("cyclamenturn_requests_rejected", {{"status", std::to_string(request.status)}});
+    if (m_logBudget.allows(true, m_loop.now())) {
+        LogEvent("request_rejected")
+            .field("request", m_messages.decodeRequest(request.head).attemptId)
+            .field("status", request.status)
+            .field("reason", request.reason)
+            .field("method", request.head.method)
+            .field("host", requestedHost(request.head))
+            .field("path", loggedPath(request.head));
+    }
+}
+
 void Gateway::handleReadiness(const HttpServerConnectionPtr &connection)
 {
     connection->sendResponse({isReady() ? OK : UNAVAILABLE, "", {}}, isReady() ? "ready\n" : "not ready\n");
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -68,6 +68,10 @@
     {
         return m_endpoints;
     }
+    const StoreLink &store() const
+    {
+        return m_store;
+    }
     EndpointStatistics &statistics(const std::string &endpointId)
     {
         return m_statistics[endpointId];
@@ -135,6 +139,7 @@
     void endpointListUpdateReceived(const EndpointListUpdate &update) override;
 
     void handleCaller(const HttpServerConnectionPtr &connection, ReceivedRequest request);
+    void handleRejection(const RejectedRequest &request);
     void handleReadiness(const HttpServerConnectionPtr &connection);
     void handleMetrics(const HttpServerConnectionPtr &connection);
     PeerDigest makeDigest();
--- a/src/gateway/messagecodec.h
+++ b/src/gateway/messagecodec.h
@@ -47,6 +47,16 @@
     std::string body;
 };
 
+/** A response of the platform's store. */
+struct StoreResponse
+{
+    /** 0 when no complete response was received in time. */
+    int status = 0;
+    /** StoreRevision::era. */
+    std::uint64_t era = 0;
+    std::string body;
+};
+
 /** One item of the platform's store. */
 struct StoreItem
 {
@@ -83,6 +93,9 @@
     virtual StoreRequest listGatewaysRequest() const = 0;
     virtual std::uint64_t decodeLease(const std::string &body) const = 0;
 
+    /** The era of the store that a response states; 0 if it states none. */
+    virtual std::uint64_t decodeEra(const HttpResponseHead &head) const = 0;
+
     /** Sets `storeRevision` to the revision of the store. All decode functions throw MessageFormatError. */
     virtual StoreItem decodeItem(const std::string &body, std::uint64_t &storeRevision) const = 0;
     virtual StorePage decodePage(const std::string &body) const = 0;
--- a/src/gateway/registration.cpp
+++ b/src/gateway/registration.cpp
@@ -23,7 +23,7 @@
     Address ownAddress, std::function<void(const Address &)> peerFound)
     : m_loop(loop)
     , m_codec(codec)
-    , m_call(loop, store)
+    , m_call(loop, codec, store)
     , m_name(std::move(name))
     , m_ownAddress(std::move(ownAddress))
     , m_peerFound(std::move(peerFound))
@@ -47,7 +47,7 @@
 }
 
 void Registration::begin(
-    const StoreRequest &request, std::function<void(int status, const std::string &body)> responseHandler)
+    const StoreRequest &request, std::function<void(const StoreResponse &response)> responseHandler)
 {
     ++m_calls;
     m_call.begin(request, CALL_TIMEOUT, std::move(responseHandler));
@@ -60,13 +60,13 @@
 
 void Registration::createLease()
 {
-    begin(m_codec.createLeaseRequest(LEASE_DURATION), [this](int status, const std::string &body) {
-        if (status != OK) {
+    begin(m_codec.createLeaseRequest(LEASE_DURATION), [this](const StoreResponse &response) {
+        if (response.status != OK) {
             retry();
             return;
         }
         try {
-            m_leaseId = m_codec.decodeLease(body);
+            m_leaseId = m_codec.decodeLease(response.body);
             writeAddress();
         } catch (const MessageFormatError &error) {
             LogEvent("store_answer_unreadable", LogEvent::Level::Error).field("reason", error.what());
@@ -77,9 +77,9 @@
 
 void Registration::writeAddress()
 {
-    begin(m_codec.writeGatewayRequest(m_name, toString(m_ownAddress), m_leaseId),
-        [this](int status, const std::string &) {
-            if (status != OK) {
+    begin(
+        m_codec.writeGatewayRequest(m_name, toString(m_ownAddress), m_leaseId), [this](const StoreResponse &response) {
+            if (response.status != OK) {
                 retry();
                 return;
             }
@@ -90,11 +90,11 @@
 
 void Registration::listPeers()
 {
-    begin(m_codec.listGatewaysRequest(), [this](int status, const std::string &body) {
+    begin(m_codec.listGatewaysRequest(), [this](const StoreResponse &response) {
         try {
-            if (status == OK) {
+            if (response.status == OK) {
                 m_listedAt = m_loop.now();
-                for (const auto &item : m_codec.decodePage(body).items) {
+                for (const auto &item : m_codec.decodePage(response.body).items) {
                     const Address address = addressFromString(item.value);
                     if (!(address == m_ownAddress)) {
                         m_peerFound(address);
@@ -104,14 +104,14 @@
         } catch (const std::runtime_error &error) {
             LogEvent("gateway_list_unreadable", LogEvent::Level::Error).field("reason", error.what());
         }
-        schedule(status == OK ? RENEWAL_INTERVAL : RETRY_DELAY, &Registration::renew);
+        schedule(response.status == OK ? RENEWAL_INTERVAL : RETRY_DELAY, &Registration::renew);
     });
 }
 
 void Registration::renew()
 {
-    begin(m_codec.renewLeaseRequest(m_leaseId), [this](int status, const std::string &) {
-        if (status == NOT_FOUND) {
+    begin(m_codec.renewLeaseRequest(m_leaseId), [this](const StoreResponse &response) {
+        if (response.status == NOT_FOUND) {
             LogEvent("registration_lapsed", LogEvent::Level::Warning).field("name", m_name);
             createLease();
             return;
@@ -120,7 +120,7 @@
             listPeers();
             return;
         }
-        schedule(status == OK ? RENEWAL_INTERVAL : RETRY_DELAY, &Registration::renew);
+        schedule(response.status == OK ? RENEWAL_INTERVAL : RETRY_DELAY, &Registration::renew);
     });
 }
 
--- a/src/gateway/registration.h
+++ b/src/gateway/registration.h
@@ -43,7 +43,7 @@
     void renew();
     void retry();
     void schedule(Duration wait, void (Registration::*step)());
-    void begin(const StoreRequest &request, std::function<void(int status, const std::string &body)> responseHandler);
+    void begin(const StoreRequest &request, std::function<void(const StoreResponse &response)> responseHandler);
 
     EventLoop &m_loop;
     const StoreCodec &m_codec;
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -16,7 +16,7 @@
 namespace
 {
 
-constexpr int FIRST_CLIENT_ERROR = 400;
+constexpr int FIRST_REDIRECTION = 300;
 constexpr int FIRST_SERVER_ERROR = 500;
 constexpr int TOO_MANY_REQUESTS = 429;
 constexpr int UNAVAILABLE = 503;
@@ -560,6 +560,25 @@
     finish(status, outcome);
 }
 
+void RequestFlow::logRejectionInputs(LogEvent &event) const
+{
+    const TimePoint now = m_gateway.loop().now();
+    const StoreLink &store = m_gateway.store();
+    const ConfigurationOrigin &origin = store.configurationOrigin();
+    event.field("method", m_request.head.method)
+        .field("host", requestedHost(m_request.head))
+        .field("path", loggedPath(m_request.head))
+        .field("from_endpoint", m_responseHead.status != 0 ? 1 : 0)
+        .field("sealed", m_responseTraits.hasServerSeal ? 1 : 0)
+        .field("configuration_source", origin.source)
+        .field("configuration_era", static_cast<long long>(origin.revision.era))
+        .field("configuration_revision", static_cast<long long>(origin.revision.revision))
+        .field("configuration_age_ms", toMilliseconds(now - origin.receivedAt))
+        .field("configuration_checked_ms", toMilliseconds(now - store.configurationCheckedAt()))
+        .field("store_era", static_cast<long long>(store.storeRevision().era))
+        .field("store_revision", static_cast<long long>(store.storeRevision().revision));
+}
+
 void RequestFlow::logOutcome(int status, const char *outcome, Duration took) const
 {
     const TimePoint now = m_gateway.loop().now();
@@ -591,6 +610,9 @@
     if (m_configuration) {
         event.field("configuration", static_cast<long long>(m_configuration->version()));
     }
+    if (status >= FIRST_REDIRECTION && status < FIRST_SERVER_ERROR) {
+        logRejectionInputs(event);
+    }
     event.field("endpoints_revision", static_cast<long long>(m_gateway.endpoints().revision()));
     if (m_gateway.endpoints().readAt()) {
         event.field("endpoints_age_ms", toMilliseconds(now - *m_gateway.endpoints().readAt()));
@@ -614,8 +636,7 @@
         m_gateway.metrics().observe(
             "cyclamenturn_request_seconds", {{"route", route->name}, {"outcome", outcome}}, took);
     }
-    const bool isFailure = status < 200 || status >= FIRST_CLIENT_ERROR;
-    if (m_gateway.logBudget().allows(isFailure, now)) {
+    if (m_gateway.logBudget().allows(!isSuccess(status), now)) {
         logOutcome(status, outcome, took);
     }
     m_gateway.remove(this);
--- a/src/gateway/requestflow.h
+++ b/src/gateway/requestflow.h
@@ -20,6 +20,7 @@
 {
 
 class Gateway;
+class LogEvent;
 
 class RequestFlow : private ExchangeListener
 {
@@ -76,6 +77,8 @@
     void refuse(GatewayRefusal refusal, Duration retryAfter);
     void respond(HttpResponseHead head, const std::string &body, const char *outcome);
     void finish(int status, const char *outcome);
+    /** Adds what led to a response with a 3xx or 4xx status. */
+    void logRejectionInputs(LogEvent &event) const;
     void logOutcome(int status, const char *outcome, Duration took) const;
     Duration timeLeft() const;
     /** How long the request may keep this process busy. For streams this is a usual maximum, not the route's
--- a/src/gateway/storecall.cpp
+++ b/src/gateway/storecall.cpp
@@ -18,8 +18,9 @@
 
 }
 
-StoreCall::StoreCall(EventLoop &loop, const Address &address)
+StoreCall::StoreCall(EventLoop &loop, const StoreCodec &codec, const Address &address)
     : m_loop(loop)
+    , m_codec(codec)
     , m_address(address)
 {
 }
@@ -33,15 +34,14 @@
 {
     cancel();
     m_responseHandler = std::move(responseHandler);
-    m_status = 0;
-    m_body.clear();
+    m_response = {};
     if (!m_connection || m_connection->isUnusable()) {
         m_connection = std::make_unique<HttpClientConnection>(
             m_loop, m_address, HttpLimits{MAX_HEADER_BYTES, MAX_RESPONSE_BYTES}, CONNECT_TIMEOUT);
     }
     HttpRequestHead headWithHost = request.head;
     headWithHost.fields.add("Host", toString(m_address));
-    m_timeout = m_loop.callAfter(timeout, [this] { finish(0); });
+    m_timeout = m_loop.callAfter(timeout, [this] { exchangeFailed(ExchangeFailure::ConnectionLost); });
     m_connection->send(headWithHost, request.body, this);
 }
 
@@ -61,12 +61,13 @@
 
 void StoreCall::headReceived(const HttpResponseHead &head)
 {
-    m_status = head.status;
+    m_response.status = head.status;
+    m_response.era = m_codec.decodeEra(head);
 }
 
 void StoreCall::bodyReceived(std::string piece)
 {
-    m_body += piece;
+    m_response.body += piece;
 }
 
 void StoreCall::exchangeDone(bool isReusable)
@@ -74,26 +75,25 @@
     if (!isReusable) {
         m_connection.reset();
     }
-    finish(m_status);
+    finish();
 }
 
 void StoreCall::exchangeFailed(ExchangeFailure)
 {
-    finish(0);
+    m_connection.reset();
+    m_response = {};
+    finish();
 }
 
-void StoreCall::finish(int status)
+void StoreCall::finish()
 {
     m_loop.cancel(m_timeout);
-    if (status == 0) {
-        m_connection.reset();
-    }
     const ResponseHandler responseHandler = std::move(m_responseHandler);
     m_responseHandler = nullptr;
-    const std::string body = std::move(m_body);
-    m_body.clear();
+    const StoreResponse response = std::move(m_response);
+    m_response = {};
     if (responseHandler) {
-        responseHandler(status, body);
+        responseHandler(response);
     }
 }
 
--- a/src/gateway/storecall.h
+++ b/src/gateway/storecall.h
@@ -17,10 +17,9 @@
 class StoreCall : private ExchangeListener
 {
 public:
-    /** `status` is 0 when no complete response was received in time. */
-    using ResponseHandler = std::function<void(int status, const std::string &body)>;
+    using ResponseHandler = std::function<void(const StoreResponse &response)>;
 
-    StoreCall(EventLoop &loop, const Address &address);
+    StoreCall(EventLoop &loop, const StoreCodec &codec, const Address &address);
     ~StoreCall() override;
 
     /** Starts a call. A call still in progress is cancelled, and its handler isn't called. */
@@ -33,15 +32,16 @@
     void bodyReceived(std::string piece) override;
     void exchangeDone(bool isReusable) override;
     void exchangeFailed(ExchangeFailure failure) override;
-    void finish(int status);
+    void finish();
 
     EventLoop &m_loop;
+    const StoreCodec &m_codec;
     Address m_address;
     std::unique_ptr<HttpClientConnection> m_connection;
     EventLoop::Timer m_timeout;
     ResponseHandler m_responseHandler;
-    int m_status = 0;
-    std::string m_body;
+    /** The response received so far. */
+    StoreResponse m_response;
 };
 
 }
--- a/src/gateway/storelink.cpp
+++ b/src/gateway/storelink.cpp
@@ -57,8 +57,8 @@
     m_loop.cancel(m_configuration.timer);
     m_loop.cancel(m_endpoints.timer);
     m_listItems.clear();
-    m_configuration.call = std::make_unique<StoreCall>(m_loop, m_address);
-    m_endpoints.call = std::make_unique<StoreCall>(m_loop, m_address);
+    m_configuration.call = std::make_unique<StoreCall>(m_loop, m_codec, m_address);
+    m_endpoints.call = std::make_unique<StoreCall>(m_loop, m_codec, m_address);
     if (running) {
         start();
     }
@@ -71,10 +71,28 @@
 }
 
 void StoreLink::begin(Channel &channel, const StoreRequest &request, Duration timeout,
-    std::function<void(int status, const std::string &body)> responseHandler)
+    std::function<void(const StoreResponse &response)> responseHandler)
 {
     ++m_calls;
-    channel.call->begin(request, timeout, std::move(responseHandler));
+    channel.call->begin(request, timeout,
+        [this, &channel, responseHandler = std::move(responseHandler)](const StoreResponse &response) {
+            noteEra(channel, response);
+            responseHandler(response);
+        });
+}
+
+void StoreLink::noteEra(const Channel &channel, const StoreResponse &response)
+{
+    if (response.status == 0 || response.era == m_storeRevision.era) {
+        return;
+    }
+    LogEvent("store_era_changed", LogEvent::Level::Warning)
+        .field("duty", channel.name)
+        .field("era", static_cast<long long>(response.era))
+        .field("previous_era", static_cast<long long>(m_storeRevision.era))
+        .field("store_revision", static_cast<long long>(m_storeRevision.revision))
+        .field("configuration_revision", static_cast<long long>(m_configurationRevision));
+    m_storeRevision = {response.era, 0};
 }
 
 void StoreLink::setAvailable(Channel &channel, bool available, const std::string &reason)
@@ -91,28 +109,27 @@
 
 void StoreLink::readConfiguration()
 {
-    begin(
-        m_configuration, m_codec.readConfigurationRequest(), READ_TIMEOUT, [this](int status, const std::string &body) {
-            if (status == NOT_FOUND) {
-                setAvailable(m_configuration, true, "the store has no configuration yet");
-                retryConfiguration(MISSING_CONFIGURATION_RETRY_DELAY);
-                return;
-            }
-            if (status != OK) {
-                setAvailable(m_configuration, false, "status " + std::to_string(status));
-                retryConfiguration(RETRY_DELAY);
-                return;
-            }
-            try {
-                const StoreItem item = m_codec.decodeItem(body, m_watchedRevision);
-                setAvailable(m_configuration, true, "read");
-                handleConfigurationItems({item});
-                watchConfiguration();
-            } catch (const MessageFormatError &error) {
-                LogEvent("store_answer_unreadable", LogEvent::Level::Error).field("reason", error.what());
-                retryConfiguration(RETRY_DELAY);
-            }
-        });
+    begin(m_configuration, m_codec.readConfigurationRequest(), READ_TIMEOUT, [this](const StoreResponse &response) {
+        if (response.status == NOT_FOUND) {
+            setAvailable(m_configuration, true, "the store has no configuration yet");
+            retryConfiguration(MISSING_CONFIGURATION_RETRY_DELAY);
+            return;
+        }
+        if (response.status != OK) {
+            setAvailable(m_configuration, false, "status " + std::to_string(response.status));
+            retryConfiguration(RETRY_DELAY);
+            return;
+        }
+        try {
+            const StoreItem item = m_codec.decodeItem(response.body, m_watchedRevision);
+            setAvailable(m_configuration, true, "read");
+            handleConfigurationItems({item}, "read");
+            watchConfiguration();
+        } catch (const MessageFormatError &error) {
+            LogEvent("store_answer_unreadable", LogEvent::Level::Error).field("reason", error.what());
+            retryConfiguration(RETRY_DELAY);
+        }
+    });
 }
 
 void StoreLink::retryConfiguration(Duration wait)
@@ -126,21 +143,21 @@
     const Duration wait = m_hasPeers ? WATCH_TIMEOUT : WATCH_TIMEOUT_WITHOUT_PEERS;
     m_isWatching = true;
     begin(m_configuration, m_codec.watchConfigurationRequest(m_watchedRevision, wait), wait + WATCH_RESPONSE_MARGIN,
-        [this](int status, const std::string &body) {
+        [this](const StoreResponse &response) {
             m_isWatching = false;
-            if (status != OK) {
+            if (response.status != OK) {
                 // The store no longer has the history since the watched revision. This is no outage: the read below
                 // returns the current configuration.
-                if (status != GONE) {
-                    setAvailable(m_configuration, false, "status " + std::to_string(status));
+                if (response.status != GONE) {
+                    setAvailable(m_configuration, false, "status " + std::to_string(response.status));
                 }
                 readConfiguration();
                 return;
             }
             try {
-                const StorePage page = m_codec.decodeWatch(body);
+                const StorePage page = m_codec.decodeWatch(response.body);
                 m_watchedRevision = std::max(m_watchedRevision, page.storeRevision);
-                handleConfigurationItems(page.items);
+                handleConfigurationItems(page.items, "watch");
                 watchConfiguration();
             } catch (const MessageFormatError &error) {
                 LogEvent("store_answer_unreadable", LogEvent::Level::Error).field("reason", error.what());
@@ -163,13 +180,23 @@
     readConfiguration();
 }
 
-void StoreLink::handleConfigurationItems(const std::vector<StoreItem> &items)
+void StoreLink::handleConfigurationItems(const std::vector<StoreItem> &items, const char *source)
 {
+    m_storeRevision.revision = m_watchedRevision;
+    m_configurationCheckedAt = m_loop.now();
     for (const auto &item : items) {
         if (item.revision <= m_configurationRevision) {
+            if (item.revision < m_configurationRevision) {
+                LogEvent("configuration_ignored", LogEvent::Level::Warning)
+                    .field("revision", static_cast<long long>(item.revision))
+                    .field("in_hand", static_cast<long long>(m_configurationRevision))
+                    .field("era", static_cast<long long>(m_storeRevision.era))
+                    .field("source", source);
+            }
             continue;
         }
         m_configurationRevision = item.revision;
+        m_configurationOrigin = {{m_storeRevision.era, item.revision}, source, m_loop.now()};
         try {
             m_listener.configurationRead(m_codec.decodeConfiguration(item.value), item.revision);
         } catch (const std::runtime_error &error) {
@@ -184,14 +211,14 @@
 {
     m_isListReadInProgress = true;
     const std::string after = m_listItems.empty() ? std::string() : m_listItems.back().key;
-    begin(m_endpoints, m_codec.listEndpointsRequest(after), READ_TIMEOUT, [this](int status, const std::string &body) {
-        if (status != OK) {
-            setAvailable(m_endpoints, false, "status " + std::to_string(status));
+    begin(m_endpoints, m_codec.listEndpointsRequest(after), READ_TIMEOUT, [this](const StoreResponse &response) {
+        if (response.status != OK) {
+            setAvailable(m_endpoints, false, "status " + std::to_string(response.status));
             failListRead();
             return;
         }
         try {
-            StorePage page = m_codec.decodePage(body);
+            StorePage page = m_codec.decodePage(response.body);
             if (m_listItems.empty()) {
                 m_listRevision = page.storeRevision;
             }
--- a/src/gateway/storelink.h
+++ b/src/gateway/storelink.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "address.h"
+#include "configurationorigin.h"
 #include "messagecodec.h"
 
 #include "transport/eventloop.h"
@@ -53,6 +54,20 @@
     {
         return m_configurationRevision;
     }
+    const ConfigurationOrigin &configurationOrigin() const
+    {
+        return m_configurationOrigin;
+    }
+    /** The latest revision of the store that any of its responses has shown. */
+    const StoreRevision &storeRevision() const
+    {
+        return m_storeRevision;
+    }
+    /** When the store last answered a call about the configuration. */
+    TimePoint configurationCheckedAt() const
+    {
+        return m_configurationCheckedAt;
+    }
     std::uint64_t calls() const
     {
         return m_calls;
@@ -70,7 +85,7 @@
 
     void readConfiguration();
     void watchConfiguration();
-    void handleConfigurationItems(const std::vector<StoreItem> &items);
+    void handleConfigurationItems(const std::vector<StoreItem> &items, const char *source);
     void retryConfiguration(Duration wait);
     void readEndpoints();
     void scheduleListRead(Duration wait);
@@ -78,7 +93,8 @@
     void failListRead();
     const EndpointRecord *decodeCached(const StoreItem &item);
     void begin(Channel &channel, const StoreRequest &request, Duration timeout,
-        std::function<void(int status, const std::string &body)> responseHandler);
+        std::function<void(const StoreResponse &response)> responseHandler);
+    void noteEra(const Channel &channel, const StoreResponse &response);
     void setAvailable(Channel &channel, bool available, const std::string &reason);
 
     EventLoop &m_loop;
@@ -91,6 +107,9 @@
     std::uint64_t m_watchedRevision = 0;
     /** Revision of the current configuration; never decreases. */
     std::uint64_t m_configurationRevision = 0;
+    ConfigurationOrigin m_configurationOrigin;
+    StoreRevision m_storeRevision;
+    TimePoint m_configurationCheckedAt;
     /** When the configuration was last read because another gateway reported a newer revision. */
     TimePoint m_peerTriggeredReadAt;
     bool m_isWatching = false;
--- a/src/transport/httpserver.h
+++ b/src/transport/httpserver.h
@@ -26,15 +26,30 @@
     Duration idleTimeout = milliseconds(15000);
 };
 
+/** A request that was rejected before it was complete. */
+struct RejectedRequest
+{
+    int status = 0;
+    const char *reason = "";
+    /** As far as it was received. */
+    HttpRequestHead head;
+};
+
 class HttpServer : private SocketHandler
 {
 public:
     /** The handler may move out of the request. */
     using RequestHandler = std::function<void(const HttpServerConnectionPtr &, ReceivedRequest &)>;
+    using RejectionHandler = std::function<void(const RejectedRequest &)>;
 
     HttpServer(EventLoop &loop, const Address &address, RequestHandler handler);
     ~HttpServer() override;
 
+    /** Sets the function that is called for each request that the server rejects itself. */
+    void setRejectionHandler(RejectionHandler handler)
+    {
+        m_rejectionHandler = std::move(handler);
+    }
     /** Sets the limits for requests that start from now on. */
     void setLimits(const HttpServerLimits &limits)
     {
@@ -74,11 +89,18 @@
     {
         m_handler(connection, request);
     }
+    void reportRejection(const RejectedRequest &request)
+    {
+        if (m_rejectionHandler) {
+            m_rejectionHandler(request);
+        }
+    }
     void remove(HttpServerConnection *connection);
 
     EventLoop &m_loop;
     Poco::Net::ServerSocket m_socket;
     RequestHandler m_handler;
+    RejectionHandler m_rejectionHandler;
     HttpServerLimits m_limits;
     bool m_draining = false;
     bool m_accepting = true;
--- a/src/transport/httpserverconnection.cpp
+++ b/src/transport/httpserverconnection.cpp
@@ -117,6 +117,7 @@
 {
     m_busy = true;
     m_closeAfterResponse = true;
+    m_server.reportRejection({status, reason, m_parser ? m_parser->request() : HttpRequestHead()});
     HttpResponseHead head{status, "", {}};
     head.fields.add("Content-Type", "text/plain");
     sendResponse(std::move(head), std::string(reason) + "\n");
--- a/test/error/processes_gateway.py
+++ b/test/error/processes_gateway.py
@@ -432,6 +432,31 @@
         assert "key-1" not in open(fleet.gateway.log_file, encoding="utf-8").read()
 
 
+def log_tells_why_a_request_was_answered_with_4xx():
+    def reject(connection, _):
+        connection.sendall(b"HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n")
+
+    with Fleet(desk=reject) as fleet:
+        fleet.gateway.call("GET", "/nowhere/x", X_Attempt_Id="route")
+        fleet.gateway.call("GET", "/plain/x", X_Attempt_Id="endpoint")
+        with socket.create_connection(("127.0.0.1", fleet.gateway.callers_port)) as caller:
+            caller.sendall(b"GET /plain/x HTTP/1.1\r\nX-Attempt-Id: transport\r\n\r\n")
+            assert b" 400 " in caller.recv(4096)
+        revision = fleet.store.items["op/config"]["revision"]
+        expected = {
+            "route": ["outcome=unknown_route", "from_endpoint=0", "configuration_source=read", "configuration_age_ms=",
+                      f"configuration_revision={revision}", "store_revision=", "path=/nowhere/x"],
+            "endpoint": ["status=404", "from_endpoint=1", "sealed=0", "method=GET", "host=h.example"]}
+        for attempt, fields in expected.items():
+            eventually(lambda attempt=attempt, fields=fields: [
+                line for line in fleet.gateway.log_lines("request_finished")
+                if f"request={attempt}" in line and all(field in line for field in fields)], f"the line of {attempt}")
+        eventually(lambda: [line for line in fleet.gateway.log_lines("request_rejected")
+                            if "status=400" in line and "not exactly one Host field" in line], "the rejected request")
+        page = fleet.gateway.call("GET", "/metrics", port=fleet.gateway.metrics_port)[1].decode()
+        assert 'cyclamenturn_requests_rejected{status="400"} 1' in page
+
+
 def main():
     tests = [item for name, item in globals().items()
              if callable(item) and getattr(item, "__module__", "") == "__main__"
