Tests that fail: configurations that are ignored or unnoticed, and refusals by an outdated gateway

processes_store: a configuration written after the store was restored from a copy, silent connections to the store, an outage, a configuration that can't be decoded, a lost registration.

--- a/test/error/gatewayfleet.py
+++ b/test/error/gatewayfleet.py
@@ -75,17 +75,41 @@
     def close_connections(self):
         """Closes all open connections; the server still accepts new ones."""
         for connection in list(self.open_connections):
-            connection.shutdown(socket.SHUT_RDWR)
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # it has just been closed
 
 
 class Store:
-    """Simulates the platform's store. While `is_down` is set, it closes connections without a response."""
+    """Simulates the platform's store. While `is_down` is set, it closes connections without a response.
+
+    Like the platform's store it can be restored from a copy: its revisions go back, and its era rises by one.
+    """
 
     def __init__(self):
         self.items, self.revision, self.is_down = {}, 0, False
+        self.era, self.leases, self.lease_count = 1, set(), 0
+        self.silent_connections = set()
         self.changed = threading.Condition()
         self.server = Server(self.serve)
 
+    def copy(self):
+        with self.changed:
+            return dict(self.items), self.revision, set(self.leases)
+
+    def restore(self, copy):
+        with self.changed:
+            self.items, self.revision, self.leases = dict(copy[0]), copy[1], set(copy[2])
+            self.era += 1
+            self.changed.notify_all()
+        self.server.close_connections()
+
+    def silence_open_connections(self):
+        """Leaves the open connections open without ever responding on them; new ones work."""
+        with self.changed:
+            self.silent_connections |= self.server.open_connections
+
     def put(self, key, value):
         with self.changed:
             self.revision += 1
@@ -105,8 +129,11 @@
             if self.is_down:
                 return
             status, body = self.respond(request)
+            if connection in self.silent_connections:
+                continue
             text = json.dumps(body).encode()
-            connection.sendall(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(text)) + text)
+            connection.sendall(b"HTTP/1.1 %d X\r\nStore-Era: %d\r\nContent-Length: %d\r\n\r\n"
+                               % (status, self.era, len(text)) + text)
 
     def respond(self, request):
         path, _, query = request.target.partition("?")
@@ -123,16 +150,24 @@
             if path == "/-/kv-watch":
                 return self.watch(arguments)
         if path == "/-/kv-lease":
-            return 200, {"lease": 1, "ttl_ms": 30000}
+            with self.changed:
+                self.lease_count += 1
+                self.leases.add(self.lease_count)
+                return 200, {"lease": self.lease_count, "ttl_ms": 30000}
         if path == "/-/kv-txn":
-            for write in json.loads(request.body)["writes"]:
+            writes = json.loads(request.body)["writes"]
+            if any(write["lease"] not in self.leases for write in writes):
+                return 404, {}
+            for write in writes:
                 self.put(write["key"], base64.b64decode(write["value"]).decode())
             return 200, {"revision": self.revision}
-        return 200, {"ttl_ms": 30000}
+        return (200, {"ttl_ms": 30000}) if int(path.rsplit("/", 1)[1]) in self.leases else (404, {})
 
     def watch(self, arguments):
-        end = time.monotonic() + int(arguments["wait_ms"]) / 1000
+        end, era = time.monotonic() + int(arguments["wait_ms"]) / 1000, self.era
         while True:
+            if int(arguments["after"]) > self.revision or self.era != era:
+                return 410, {}
             events = [item for key, item in self.items.items()
                       if key.startswith(arguments["prefix"]) and item["revision"] > int(arguments["after"])]
             left = end - time.monotonic()
--- /dev/null
+++ b/test/error/processes_store.py
@@ -0,0 +1,162 @@
+#!/usr/bin/env python3
+"""Tests of gateway processes whose copy of the configuration may be outdated, because of what the store does."""
+import sys
+import time
+import traceback
+
+from gatewayfleet import Endpoint, Gateway, Store, configuration, eventually, route, sealed_response
+
+BUILD = sys.argv[1]
+# From the platform's bounds: a gateway applies a configuration this long after the store has acknowledged it ...
+APPLY_S = 2.0
+# ... unless a disturbance ended less than this time ago.
+STABLE_S = 3.0
+OLD = [route("plain", "desk")]
+NEW = OLD + [route("added", "desk")]
+# Writes that the copy of the store lacks, besides that of the configuration.
+LOST_WRITES = 40
+
+
+def answer_ok(connection, request):
+    connection.sendall(sealed_response(request))
+
+
+class Fleet:
+    """Gateways with one endpoint and a store that holds version 3 with the routes OLD and the key key-1."""
+
+    def __init__(self, gateways=1):
+        self.store, self.endpoint = Store(), Endpoint(answer_ok)
+        self.store.put("servers/desk-0", self.endpoint.registration("desk"))
+        self.store.put("op/config", configuration(3, OLD))
+        self.gateways = [Gateway(BUILD, self.store, name=f"g{i}") for i in range(gateways)]
+
+    def __enter__(self):
+        for gateway in self.gateways:
+            eventually(gateway.is_ready, "readiness")
+        return self
+
+    def __exit__(self, *_):
+        for gateway in self.gateways:
+            gateway.stop()
+        for server in (self.store.server, self.endpoint.server):
+            server.close()
+
+    def change(self, version, routes, key):
+        self.store.put("op/config", configuration(version, routes, keys=(key,)))
+
+    def heartbeats(self, count):
+        for i in range(count):
+            self.store.put("servers/desk-0", {**self.endpoint.registration("desk"), "sequence": i})
+
+    def statuses(self, target, key):
+        return [gateway.call("GET", target, Authorization=f"Bearer {key}")[0] for gateway in self.gateways]
+
+    def serves(self, target, key):
+        return set(self.statuses(target, key)) == {200}
+
+    def expect_in_force(self, served, refused):
+        """Expects that requests for `served` are served and those for `refused` aren't, both (target, key)."""
+        eventually(lambda: self.serves(*served), f"service of {served}", APPLY_S)
+        assert set(self.statuses(*refused)) <= {401, 404}, self.statuses(*refused)
+
+
+def configuration_written_after_the_store_was_restored_comes_into_force():
+    with Fleet(gateways=3) as fleet:
+        copy = fleet.store.copy()
+        fleet.heartbeats(LOST_WRITES)
+        fleet.change(5, OLD, "key-2")
+        fleet.expect_in_force(("/plain/x", "key-2"), ("/plain/x", "key-1"))
+        fleet.store.restore(copy)
+        fleet.change(5, OLD, "key-2")
+        fleet.change(9, NEW, "key-3")
+        fleet.expect_in_force(("/added/x", "key-3"), ("/plain/x", "key-2"))
+
+
+def key_that_was_removed_stays_removed_when_the_store_is_restored():
+    with Fleet(gateways=3) as fleet:
+        copy = fleet.store.copy()
+        fleet.heartbeats(LOST_WRITES)
+        fleet.change(5, NEW, "key-2")
+        fleet.expect_in_force(("/added/x", "key-2"), ("/plain/x", "key-1"))
+        fleet.store.restore(copy)
+        written_again_at = time.monotonic() + 1.5
+        while time.monotonic() < written_again_at:
+            assert fleet.serves("/added/x", "key-2")
+            assert 200 not in fleet.statuses("/plain/x", "key-1")
+        fleet.change(5, NEW, "key-2")
+        fleet.change(6, OLD, "key-3")
+        fleet.expect_in_force(("/plain/x", "key-3"), ("/plain/x", "key-2"))
+
+
+def older_version_that_stays_in_a_restored_store_comes_into_force():
+    with Fleet() as fleet:
+        copy = fleet.store.copy()
+        fleet.heartbeats(LOST_WRITES)
+        fleet.change(5, NEW, "key-2")
+        fleet.expect_in_force(("/added/x", "key-2"), ("/plain/x", "key-1"))
+        fleet.store.restore(copy)
+        eventually(lambda: fleet.serves("/plain/x", "key-1"), "the store's version", 15)
+
+
+def silent_store_connections_delay_no_configuration():
+    with Fleet(gateways=4) as fleet:
+        for gateway in fleet.gateways:
+            eventually(lambda gateway=gateway: len(gateway.log_lines("peer_found")) == 3, "contact between gateways")
+        fleet.change(5, OLD, "key-2")
+        fleet.expect_in_force(("/plain/x", "key-2"), ("/plain/x", "key-1"))
+        fleet.store.silence_open_connections()
+        silent_since = time.monotonic()
+        time.sleep(0.1)
+        fleet.change(9, NEW, "key-3")
+        time.sleep(STABLE_S - (time.monotonic() - silent_since))
+        statuses = fleet.statuses("/added/x", "key-3")
+        assert not {401, 404} & set(statuses), statuses
+        assert 200 not in fleet.statuses("/plain/x", "key-2")
+        eventually(lambda: fleet.serves("/added/x", "key-3"), "the new configuration", APPLY_S)
+
+
+def unknown_key_and_route_are_refused_with_503_while_the_configuration_may_be_outdated():
+    with Fleet() as fleet:
+        assert fleet.statuses("/plain/x", "key-2") == [401] and fleet.statuses("/added/x", "key-1") == [404]
+        fleet.store.is_down = True
+        fleet.store.server.close_connections()
+        time.sleep(STABLE_S)
+        assert fleet.statuses("/plain/x", "key-2") == [503] and fleet.statuses("/added/x", "key-1") == [503]
+        assert fleet.serves("/plain/x", "key-1")
+        fleet.store.is_down = False
+        eventually(lambda: fleet.statuses("/plain/x", "key-2") == [401], "the confirmed configuration", APPLY_S)
+
+
+def configuration_that_cannot_be_decoded_counts_as_outdated():
+    with Fleet() as fleet:
+        fleet.store.put("op/config", {"version": 5, "routes": "none"})
+        eventually(lambda: fleet.gateways[0].log_lines("configuration_unreadable"), "the unreadable configuration")
+        assert fleet.statuses("/plain/x", "key-2") == [503] and fleet.serves("/plain/x", "key-1")
+        fleet.change(6, NEW, "key-2")
+        fleet.expect_in_force(("/added/x", "key-2"), ("/plain/x", "key-1"))
+
+
+def gateway_registers_again_when_the_store_is_restored():
+    with Fleet(gateways=2) as fleet:
+        without_gateways = {key: item for key, item in fleet.store.items.items() if key.startswith(("op/", "servers/"))}
+        fleet.store.restore((without_gateways, fleet.store.revision - 1, ()))
+        eventually(lambda: sum(key.startswith("cyclamenturn/") for key in fleet.store.items) == 2, "registrations", 5)
+
+
+def main():
+    tests = [item for name, item in globals().items()
+             if callable(item) and getattr(item, "__module__", "") == "__main__"
+             and name not in ("main", "answer_ok", "Fleet")]
+    failed = 0
+    for test in [item for item in tests if len(sys.argv) < 3 or item.__name__ in sys.argv[2:]]:
+        try:
+            test()
+            print("passed", test.__name__, flush=True)
+        except Exception:  # noqa: BLE001 - every failure of a test is reported and counted
+            failed += 1
+            print("FAILED", test.__name__, traceback.format_exc(), flush=True)
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
