A caller that leaves before the first configuration doesn't end the gateway

Callers saw connections closed by a gateway that had just started, and all its other requests with it. A caller that left while its request waited for the first configuration made recordSilence() compute the response timeout of a route that isn't known yet: a null pointer, exit code 139.

Without an attempt there is no silence to record, so the check for it comes first.

caller_that_leaves_before_the_first_configuration_does_not_end_the_gateway failed before (the process had ended) and passes.

--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -432,9 +432,12 @@
 
 void RequestFlow::recordSilence()
 {
+    if (!m_connection) {
+        return;
+    }
     const TimePoint now = m_gateway.loop().now();
     const Duration enough = std::min(responseTimeout(), CrashQuarantine::SILENCE_TIME);
-    const bool isSilent = m_connection && m_connection->isConnected() && now - m_lastActivityAt >= enough;
+    const bool isSilent = m_connection->isConnected() && now - m_lastActivityAt >= enough;
     if (isSilent && !m_gateway.quarantine().hasCrashedBefore(m_incarnation, m_sentAt)) {
         m_gateway.quarantine().recordSilence(m_fingerprint, m_incarnation, m_lastActivityAt, now);
         m_gateway.metrics().count("cyclamenturn_crash_reports", {{"from", "own"}});
--- a/test/error/processes_gateway.py
+++ b/test/error/processes_gateway.py
@@ -100,6 +100,19 @@
         assert fleet.gateway.call("GET", "/plain/x")[0] == 200
 
 
+def caller_that_leaves_before_the_first_configuration_does_not_end_the_gateway():
+    with Fleet(configured=False) as fleet:
+        fleet.gateway.stop()
+        fleet.gateway = Gateway(BUILD, fleet.store)
+        eventually(lambda: fleet.gateway.log_lines("started"), "the start of the gateway")
+        with socket.create_connection(("127.0.0.1", fleet.gateway.callers_port)) as caller:
+            caller.sendall(b"GET /plain/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: 1\r\n\r\n")
+            time.sleep(0.05)
+        fleet.store.put("op/config", configuration(3, ROUTES))
+        eventually(fleet.gateway.is_ready, "readiness")
+        assert fleet.gateway.process.poll() is None
+
+
 def route_timeout_returns_504_and_cancels_the_run():
     cancelled = threading.Event()
 
