A configuration written after the store was restored comes into force

Callers saw 404 on routes and 401 with keys that the operator had added, at every gateway at once, after the store had come back from a copy some seconds old. The cause: StoreLink compared revisions alone. A restored store gives out revisions again, so each configuration whose revision wasn't above the one in hand was ignored, until the store had caught up. The watch answered 410 and the read returned the new document, both without a line in the log.

Now revisions carry the store's era and are compared within an era only; a new era in any response makes the gateway read again. Digests carry the era.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -87,7 +87,7 @@
     out.name = m_settings.name;
     out.incarnation = m_incarnation;
     out.sequence = ++m_digestSequence;
-    out.configurationRevision = m_store.configurationRevision();
+    out.configurationRevision = m_store.latestConfigurationRevision();
     out.demand = m_placement.split().ownDemand(m_loop.now());
     for (const auto &[id, statistics] : m_statistics) {
         if (statistics.inFlight() > 0) {
@@ -260,7 +260,7 @@
     m_loop.callAfter(HOUSEKEEPING_INTERVAL, [this] { housekeep(); });
 }
 
-void Gateway::configurationRead(RoutingConfigurationPtr configuration, std::uint64_t revision)
+void Gateway::configurationRead(RoutingConfigurationPtr configuration, const ConfigurationOrigin &origin)
 {
     const bool wasReady = isReady();
     m_configuration = std::move(configuration);
@@ -273,7 +273,9 @@
     m_metrics.set("cyclamenturn_configuration_version", {}, static_cast<double>(m_configuration->version()));
     LogEvent("configuration_in_force")
         .field("version", static_cast<long long>(m_configuration->version()))
-        .field("revision", static_cast<long long>(revision))
+        .field("revision", static_cast<long long>(origin.revision.revision))
+        .field("era", static_cast<long long>(origin.revision.era))
+        .field("source", origin.source)
         .field("routes", static_cast<long long>(m_configuration->routes().size()));
     if (!wasReady && isReady()) {
         becomeReady();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -131,7 +131,7 @@
     void remove(RequestFlow *flow);
 
 private:
-    void configurationRead(RoutingConfigurationPtr configuration, std::uint64_t revision) override;
+    void configurationRead(RoutingConfigurationPtr configuration, const ConfigurationOrigin &origin) override;
     void endpointsRead(const std::vector<EndpointRecord> &list, std::uint64_t revision) override;
     void endpointsReadFailed() override;
     Duration delayUntilListRead() override;
--- a/src/gateway/peerdigest.cpp
+++ b/src/gateway/peerdigest.cpp
@@ -35,7 +35,7 @@
     std::ostringstream stream;
     Poco::BinaryWriter out(stream, Poco::BinaryWriter::NETWORK_BYTE_ORDER);
     out << static_cast<Poco::UInt8>(DatagramKind::Digest) << digest.name << Poco::UInt64(digest.incarnation)
-        << Poco::UInt32(digest.sequence) << Poco::UInt64(digest.configurationRevision)
+        << Poco::UInt32(digest.sequence) << Poco::UInt64(digest.configurationRevision.revision)
         << static_cast<float>(digest.demand.prefillMsPerSecond) << static_cast<float>(digest.demand.longAnswers);
     const std::size_t endpointCount = std::min(digest.endpointRequests.size(), MAX_ENDPOINT_REQUESTS);
     out << static_cast<Poco::UInt8>(endpointCount);
@@ -56,6 +56,7 @@
         const ClearedSuspect &cleared = digest.clearedSuspects[i];
         out << Poco::UInt64(cleared.fingerprint) << ageMs(cleared.at, now);
     }
+    out << Poco::UInt64(digest.configurationRevision.era);
     out.flush();
     return stream.str();
 }
@@ -75,6 +76,7 @@
     float prefillMsPerSecond = 0;
     float longAnswers = 0;
     Poco::UInt64 configurationRevision = 0;
+    Poco::UInt64 configurationEra = 0;
     if (!readText(in, out.name)) {
         return std::nullopt;
     }
@@ -82,7 +84,6 @@
     out.demand = {prefillMsPerSecond, longAnswers};
     out.incarnation = incarnation;
     out.sequence = sequence;
-    out.configurationRevision = configurationRevision;
     Poco::UInt8 count = 0;
     in >> count;
     for (int i = 0; i < count && in.good(); ++i) {
@@ -112,6 +113,8 @@
         in >> fingerprint >> age;
         out.clearedSuspects.push_back({fingerprint, now - milliseconds(age)});
     }
+    in >> configurationEra;
+    out.configurationRevision = {configurationEra, configurationRevision};
     if (!in.good() || out.name.empty()) {
         return std::nullopt;
     }
--- a/src/gateway/peerdigest.h
+++ b/src/gateway/peerdigest.h
@@ -5,6 +5,7 @@
 
 #include "clearedsuspect.h"
 #include "crashreport.h"
+#include "storerevision.h"
 #include "workloadsplit.h"
 
 #include <cstdint>
@@ -43,8 +44,8 @@
     std::uint64_t incarnation = 0;
     /** Increases with each digest of one incarnation. */
     std::uint32_t sequence = 0;
-    /** Store revision of the configuration that the gateway applies; 0 while there is none. */
-    std::uint64_t configurationRevision = 0;
+    /** Revision of the latest configuration that the gateway has read; 0 while there is none. */
+    StoreRevision configurationRevision;
     WorkloadDemand demand;
     /** Endpoints at which the gateway has requests. */
     std::vector<EndpointRequests> endpointRequests;
--- a/src/gateway/storelink.cpp
+++ b/src/gateway/storelink.cpp
@@ -25,8 +25,8 @@
 constexpr Duration WATCH_TIMEOUT_WITHOUT_PEERS = milliseconds(2000);
 /** A watch counts as lost when it has no response this long after its timeout. */
 constexpr Duration WATCH_RESPONSE_MARGIN = milliseconds(500);
-/** Minimum time between two reads that are triggered by a newer revision at another gateway. */
-constexpr Duration PEER_TRIGGERED_READ_INTERVAL = milliseconds(400);
+/** Minimum time between two reads that don't wait for the watch; reads are priced. */
+constexpr Duration RECHECK_INTERVAL = milliseconds(400);
 /** The store usually responds within a few milliseconds; this is enough for a store that is a hundred times slower. */
 constexpr Duration READ_TIMEOUT = milliseconds(800);
 constexpr Duration RETRY_DELAY = milliseconds(250);
@@ -48,6 +48,7 @@
 {
     m_loop.cancel(m_configuration.timer);
     m_loop.cancel(m_endpoints.timer);
+    m_loop.cancel(m_deferredTimer);
 }
 
 void StoreLink::setAddress(const Address &address)
@@ -91,8 +92,11 @@
         .field("era", static_cast<long long>(response.era))
         .field("previous_era", static_cast<long long>(m_storeRevision.era))
         .field("store_revision", static_cast<long long>(m_storeRevision.revision))
-        .field("configuration_revision", static_cast<long long>(m_configurationRevision));
+        .field("configuration_revision", static_cast<long long>(m_configurationOrigin.revision.revision));
     m_storeRevision = {response.era, 0};
+    if (&channel != &m_configuration) {
+        recheckConfiguration("era_changed");
+    }
 }
 
 void StoreLink::setAvailable(Channel &channel, bool available, const std::string &reason)
@@ -104,32 +108,38 @@
     LogEvent(available ? "store_regained" : "store_lost", available ? LogEvent::Level::Info : LogEvent::Level::Warning)
         .field("duty", channel.name)
         .field("reason", reason)
-        .field("configuration_revision", static_cast<long long>(m_configurationRevision));
+        .field("configuration_revision", static_cast<long long>(m_configurationOrigin.revision.revision));
 }
 
 void StoreLink::readConfiguration()
 {
-    begin(m_configuration, m_codec.readConfigurationRequest(), READ_TIMEOUT, [this](const StoreResponse &response) {
-        if (response.status == NOT_FOUND) {
-            setAvailable(m_configuration, true, "the store has no configuration yet");
-            retryConfiguration(MISSING_CONFIGURATION_RETRY_DELAY);
-            return;
-        }
-        if (response.status != OK) {
-            setAvailable(m_configuration, false, "status " + std::to_string(response.status));
-            retryConfiguration(RETRY_DELAY);
-            return;
-        }
-        try {
-            const StoreItem item = m_codec.decodeItem(response.body, m_watchedRevision);
-            setAvailable(m_configuration, true, "read");
-            handleConfigurationItems({item}, "read");
-            watchConfiguration();
-        } catch (const MessageFormatError &error) {
-            LogEvent("store_answer_unreadable", LogEvent::Level::Error).field("reason", error.what());
-            retryConfiguration(RETRY_DELAY);
-        }
-    });
+    begin(m_configuration, m_codec.readConfigurationRequest(), READ_TIMEOUT,
+        [this](const StoreResponse &response) { handleConfigurationRead(response); });
+}
+
+void StoreLink::handleConfigurationRead(const StoreResponse &response)
+{
+    if (response.status == NOT_FOUND) {
+        setAvailable(m_configuration, true, "the store has no configuration yet");
+        retryConfiguration(MISSING_CONFIGURATION_RETRY_DELAY);
+        return;
+    }
+    if (response.status != OK) {
+        setAvailable(m_configuration, false, "status " + std::to_string(response.status));
+        retryConfiguration(RETRY_DELAY);
+        return;
+    }
+    try {
+        m_watchedRevision.era = response.era;
+        const StoreItem item = m_codec.decodeItem(response.body, m_watchedRevision.revision);
+        setAvailable(m_configuration, true, "read");
+        noteConfigurationChecked();
+        handleConfigurationItem(item, "read");
+        watchConfiguration();
+    } catch (const MessageFormatError &error) {
+        LogEvent("store_answer_unreadable", LogEvent::Level::Error).field("reason", error.what());
+        retryConfiguration(RETRY_DELAY);
+    }
 }
 
 void StoreLink::retryConfiguration(Duration wait)
@@ -142,71 +152,117 @@
 {
     const Duration wait = m_hasPeers ? WATCH_TIMEOUT : WATCH_TIMEOUT_WITHOUT_PEERS;
     m_isWatching = true;
-    begin(m_configuration, m_codec.watchConfigurationRequest(m_watchedRevision, wait), wait + WATCH_RESPONSE_MARGIN,
-        [this](const StoreResponse &response) {
-            m_isWatching = false;
-            if (response.status != OK) {
-                // The store no longer has the history since the watched revision. This is no outage: the read below
-                // returns the current configuration.
-                if (response.status != GONE) {
-                    setAvailable(m_configuration, false, "status " + std::to_string(response.status));
-                }
-                readConfiguration();
-                return;
-            }
-            try {
-                const StorePage page = m_codec.decodeWatch(response.body);
-                m_watchedRevision = std::max(m_watchedRevision, page.storeRevision);
-                handleConfigurationItems(page.items, "watch");
-                watchConfiguration();
-            } catch (const MessageFormatError &error) {
-                LogEvent("store_answer_unreadable", LogEvent::Level::Error).field("reason", error.what());
-                retryConfiguration(RETRY_DELAY);
-            }
-        });
+    begin(m_configuration, m_codec.watchConfigurationRequest(m_watchedRevision.revision, wait),
+        wait + WATCH_RESPONSE_MARGIN, [this](const StoreResponse &response) { handleConfigurationWatch(response); });
 }
 
-void StoreLink::handlePeerConfigurationRevision(std::uint64_t revision)
+void StoreLink::handleConfigurationWatch(const StoreResponse &response)
 {
-    if (revision <= m_configurationRevision || !m_isWatching
-        || m_loop.now() - m_peerTriggeredReadAt < PEER_TRIGGERED_READ_INTERVAL) {
+    m_isWatching = false;
+    if (response.status != OK) {
+        // The store no longer has the history since the watched revision. This is no outage: the read below returns the
+        // current configuration.
+        if (response.status != GONE) {
+            setAvailable(m_configuration, false, "status " + std::to_string(response.status));
+        }
+        readConfiguration();
+        return;
+    }
+    if (response.era != m_watchedRevision.era) {
+        // The watched revision belongs to another era, so this response may lack changes.
+        readConfiguration();
         return;
     }
-    m_peerTriggeredReadAt = m_loop.now();
-    LogEvent("configuration_newer_elsewhere")
-        .field("revision", static_cast<long long>(revision))
-        .field("in_hand", static_cast<long long>(m_configurationRevision));
+    try {
+        const StorePage page = m_codec.decodeWatch(response.body);
+        m_watchedRevision.revision = std::max(m_watchedRevision.revision, page.storeRevision);
+        noteConfigurationChecked();
+        for (const auto &item : page.items) {
+            handleConfigurationItem(item, "watch");
+        }
+        watchConfiguration();
+    } catch (const MessageFormatError &error) {
+        LogEvent("store_answer_unreadable", LogEvent::Level::Error).field("reason", error.what());
+        retryConfiguration(RETRY_DELAY);
+    }
+}
+
+void StoreLink::handlePeerConfigurationRevision(const StoreRevision &revision)
+{
+    if (latestConfigurationRevision() < revision) {
+        recheckConfiguration("newer_elsewhere");
+    }
+}
+
+void StoreLink::recheckConfiguration(const char *reason)
+{
+    if (!m_isWatching || m_loop.now() - m_recheckedAt < RECHECK_INTERVAL) {
+        return;
+    }
+    m_recheckedAt = m_loop.now();
+    LogEvent("configuration_rechecked")
+        .field("reason", reason)
+        .field("in_hand", static_cast<long long>(latestConfigurationRevision().revision));
     m_isWatching = false;
     readConfiguration();
 }
 
-void StoreLink::handleConfigurationItems(const std::vector<StoreItem> &items, const char *source)
+void StoreLink::noteConfigurationChecked()
 {
-    m_storeRevision.revision = m_watchedRevision;
+    m_storeRevision = m_watchedRevision;
     m_configurationCheckedAt = m_loop.now();
-    for (const auto &item : items) {
-        if (item.revision <= m_configurationRevision) {
-            if (item.revision < m_configurationRevision) {
-                LogEvent("configuration_ignored", LogEvent::Level::Warning)
-                    .field("revision", static_cast<long long>(item.revision))
-                    .field("in_hand", static_cast<long long>(m_configurationRevision))
-                    .field("era", static_cast<long long>(m_storeRevision.era))
-                    .field("source", source);
-            }
-            continue;
-        }
-        m_configurationRevision = item.revision;
-        m_configurationOrigin = {{m_storeRevision.era, item.revision}, source, m_loop.now()};
-        try {
-            m_listener.configurationRead(m_codec.decodeConfiguration(item.value), item.revision);
-        } catch (const std::runtime_error &error) {
-            LogEvent("configuration_unreadable", LogEvent::Level::Error)
-                .field("revision", static_cast<long long>(item.revision))
-                .field("reason", error.what());
+}
+
+void StoreLink::handleConfigurationItem(const StoreItem &item, const char *source)
+{
+    const ConfigurationOrigin origin{{m_watchedRevision.era, item.revision}, source, m_loop.now()};
+    if (!m_selection.isNew(origin.revision)) {
+        return;
+    }
+    try {
+        RoutingConfigurationPtr configuration = m_codec.decodeConfiguration(item.value);
+        switch (m_selection.offer(origin.revision, configuration->version(), m_loop.now())) {
+        case ConfigurationSelection::Decision::Apply:
+            applyConfiguration(std::move(configuration), origin);
+            break;
+        case ConfigurationSelection::Decision::Defer:
+            deferConfiguration(std::move(configuration), origin);
+            break;
+        case ConfigurationSelection::Decision::Ignore:
+            break;
         }
+    } catch (const std::runtime_error &error) {
+        m_selection.noteUnreadable(origin.revision);
+        m_loop.cancel(m_deferredTimer);
+        LogEvent("configuration_unreadable", LogEvent::Level::Error)
+            .field("revision", static_cast<long long>(item.revision))
+            .field("reason", error.what());
     }
 }
 
+void StoreLink::applyConfiguration(RoutingConfigurationPtr configuration, const ConfigurationOrigin &origin)
+{
+    m_loop.cancel(m_deferredTimer);
+    m_configurationOrigin = origin;
+    m_listener.configurationRead(std::move(configuration), origin);
+}
+
+void StoreLink::deferConfiguration(RoutingConfigurationPtr configuration, const ConfigurationOrigin &origin)
+{
+    LogEvent("configuration_deferred", LogEvent::Level::Warning)
+        .field("version", static_cast<long long>(configuration->version()))
+        .field("in_force", static_cast<long long>(m_selection.version()))
+        .field("revision", static_cast<long long>(origin.revision.revision))
+        .field("era", static_cast<long long>(origin.revision.era));
+    m_loop.cancel(m_deferredTimer);
+    m_deferredTimer = m_loop.callAfter(
+        ConfigurationSelection::OLDER_VERSION_DELAY, [this, configuration = std::move(configuration), origin] {
+            if (m_selection.takeDeferred(m_loop.now())) {
+                applyConfiguration(configuration, origin);
+            }
+        });
+}
+
 void StoreLink::readEndpoints()
 {
     m_isListReadInProgress = true;
--- a/src/gateway/storelink.h
+++ b/src/gateway/storelink.h
@@ -6,6 +6,7 @@
 
 #include "address.h"
 #include "configurationorigin.h"
+#include "configurationselection.h"
 #include "messagecodec.h"
 
 #include "transport/eventloop.h"
@@ -25,7 +26,7 @@
 {
 public:
     virtual ~StoreLinkListener() = default;
-    virtual void configurationRead(RoutingConfigurationPtr configuration, std::uint64_t revision) = 0;
+    virtual void configurationRead(RoutingConfigurationPtr configuration, const ConfigurationOrigin &origin) = 0;
     virtual void endpointsRead(const std::vector<EndpointRecord> &list, std::uint64_t revision) = 0;
     virtual void endpointsReadFailed() = 0;
     /** How long to wait before the next read of the list of endpoints. */
@@ -40,9 +41,9 @@
 
     void start();
     void setAddress(const Address &address);
-    /** Handles the configuration revision reported by another gateway: reads the configuration if the current one is
-     * older. */
-    void handlePeerConfigurationRevision(std::uint64_t revision);
+    /** Handles the latest revision of the configuration that another gateway has read: reads the configuration if that
+     * revision is new. */
+    void handlePeerConfigurationRevision(const StoreRevision &revision);
     /** Postpones the next read of the list of endpoints, because another gateway has just read it. */
     void postponeListRead();
     /** Sets whether there are live peers, whose digests report changes that this process's watch may miss. */
@@ -50,10 +51,12 @@
     {
         m_hasPeers = hasPeers;
     }
-    std::uint64_t configurationRevision() const
+    /** The revision of the latest configuration that the store returned; it may not be in force. */
+    StoreRevision latestConfigurationRevision() const
     {
-        return m_configurationRevision;
+        return m_selection.latestRevision().value_or(StoreRevision());
     }
+    /** Of the configuration in force. */
     const ConfigurationOrigin &configurationOrigin() const
     {
         return m_configurationOrigin;
@@ -84,8 +87,15 @@
     };
 
     void readConfiguration();
+    void handleConfigurationRead(const StoreResponse &response);
     void watchConfiguration();
-    void handleConfigurationItems(const std::vector<StoreItem> &items, const char *source);
+    void handleConfigurationWatch(const StoreResponse &response);
+    void handleConfigurationItem(const StoreItem &item, const char *source);
+    void applyConfiguration(RoutingConfigurationPtr configuration, const ConfigurationOrigin &origin);
+    /** Keeps an older version of a restored store, and applies it later if nothing newer comes. */
+    void deferConfiguration(RoutingConfigurationPtr configuration, const ConfigurationOrigin &origin);
+    /** Reads the configuration now instead of waiting for the watch. `reason` is logged. */
+    void recheckConfiguration(const char *reason);
     void retryConfiguration(Duration wait);
     void readEndpoints();
     void scheduleListRead(Duration wait);
@@ -95,6 +105,8 @@
     void begin(Channel &channel, const StoreRequest &request, Duration timeout,
         std::function<void(const StoreResponse &response)> responseHandler);
     void noteEra(const Channel &channel, const StoreResponse &response);
+    /** Records that the store has just answered a call about the configuration. */
+    void noteConfigurationChecked();
     void setAvailable(Channel &channel, bool available, const std::string &reason);
 
     EventLoop &m_loop;
@@ -103,15 +115,15 @@
     StoreLinkListener &m_listener;
     Channel m_configuration{"configuration", nullptr};
     Channel m_endpoints{"endpoints", nullptr};
-    /** Revision of the store at the last response about the configuration. */
-    std::uint64_t m_watchedRevision = 0;
-    /** Revision of the current configuration; never decreases. */
-    std::uint64_t m_configurationRevision = 0;
+    /** The store at the last response about the configuration; the watch continues from there. */
+    StoreRevision m_watchedRevision;
+    ConfigurationSelection m_selection;
     ConfigurationOrigin m_configurationOrigin;
+    EventLoop::Timer m_deferredTimer;
     StoreRevision m_storeRevision;
     TimePoint m_configurationCheckedAt;
-    /** When the configuration was last read because another gateway reported a newer revision. */
-    TimePoint m_peerTriggeredReadAt;
+    /** When the configuration was last read without waiting for the watch. */
+    TimePoint m_recheckedAt;
     bool m_isWatching = false;
     /** Whether other gateways are live, so that their digests report changes. */
     bool m_hasPeers = false;
--- a/test/correctness/peerdigest.cpp
+++ b/test/correctness/peerdigest.cpp
@@ -20,7 +20,7 @@
     out.name = name;
     out.incarnation = 5;
     out.sequence = sequence;
-    out.configurationRevision = 77;
+    out.configurationRevision = {2, 77};
     out.demand = {120, 3};
     out.endpointRequests = {{9, inFlight, 1000}};
     out.crashes = {{42, "e", START - milliseconds(500)}};
@@ -37,7 +37,7 @@
     const auto received = decodeDigest(encodeDigest(sent, START), otherClock);
     REQUIRE(received);
     CHECK(received->name == "a");
-    CHECK(received->configurationRevision == 77);
+    CHECK(received->configurationRevision == StoreRevision{2, 77});
     CHECK(received->demand == sent.demand);
     CHECK(received->endpointRequests == sent.endpointRequests);
     REQUIRE(received->crashes.size() == 1);
