Silent connections to the store don't keep a configuration from all gateways

Callers saw 404 and 401 for routes and keys that the operator had added, at all gateways for up to 6.5 s, after the open connections to the store had gone silent without a reset. A watch was held for 6 s, and was to be checked by the digests of gateways whose watches end at other times. But a change ends all watches at the same moment, so the next ones all end together, and until then no gateway knows of the newer configuration.

Now the duration of a watch is drawn anew from 2 to 6 s, so that watches end one after the other, and a read of the endpoints without a response makes its gateway read the configuration again.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -108,7 +108,6 @@
 void Gateway::digestReceived(const PeerDigest &digest)
 {
     m_placement.split().setPeerDemand(m_peers.demand());
-    m_store.setHasPeers(true);
     m_store.handlePeerConfigurationRevision(digest.configurationRevision);
     for (const auto &cleared : digest.clearedSuspects) {
         m_quarantine.merge(cleared, m_loop.now());
@@ -247,7 +246,6 @@
 {
     const TimePoint now = m_loop.now();
     m_pool.expire(now);
-    m_store.setHasPeers(m_peers.livePeerCount() > 0);
     m_quarantine.expire(now);
     m_metrics.set("cyclamenturn_store_calls", {}, static_cast<double>(m_store.calls()));
     m_metrics.set("cyclamenturn_endpoint_connections_opened", {}, static_cast<double>(m_pool.opened()));
@@ -309,6 +307,11 @@
     return listReadDelay(m_settings.listInterval, static_cast<int>(m_peers.livePeerCount()) + 1, randomFraction());
 }
 
+Duration Gateway::configurationWatchDuration()
+{
+    return Cyclamenturn::configurationWatchDuration(static_cast<int>(m_peers.livePeerCount()) + 1, randomFraction());
+}
+
 void Gateway::applyEndpointList()
 {
     const bool wasReady = isReady();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -135,6 +135,7 @@
     void endpointsRead(const std::vector<EndpointRecord> &list, std::uint64_t revision) override;
     void endpointsReadFailed() override;
     Duration delayUntilListRead() override;
+    Duration configurationWatchDuration() override;
     void digestReceived(const PeerDigest &digest) override;
     void endpointListUpdateReceived(const EndpointListUpdate &update) override;
 
--- a/src/gateway/listreadplan.cpp
+++ b/src/gateway/listreadplan.cpp
@@ -1,5 +1,5 @@
 /** \file
- * Random delay before a read of the endpoint list.
+ * Random delays and durations of a gateway's calls to the store.
  */
 #include "listreadplan.h"
 
@@ -16,13 +16,31 @@
 /** Together with the interval, keeps the list recent enough to stop sending to a leaving endpoint in time, also at a
  * gateway that receives no updates from others. */
 constexpr Duration MAX_SPREAD = milliseconds(900);
+/** A gateway that receives no digests must find a change through its watch alone, within the two seconds in which a
+ * configuration must come into force. */
+constexpr Duration MIN_WATCH_DURATION = milliseconds(2000);
+/** On average, one watch in the fleet ends in half this time. */
+constexpr Duration WATCH_SPREAD_PER_GATEWAY = milliseconds(400);
+/** Each watch that ends costs a call, so watches are long where the other gateways' watches end in between. */
+constexpr Duration MAX_WATCH_SPREAD = milliseconds(4000);
+
+Duration randomPart(Duration spread, double draw)
+{
+    return Duration(static_cast<std::int64_t>(draw * static_cast<double>(spread.count())));
+}
 
 }
 
 Duration listReadDelay(Duration interval, int gateways, double draw)
 {
     const Duration spread = std::min(MAX_SPREAD, (gateways - 1) * SPREAD_PER_GATEWAY);
-    return interval + Duration(static_cast<std::int64_t>(draw * static_cast<double>(spread.count())));
+    return interval + randomPart(spread, draw);
+}
+
+Duration configurationWatchDuration(int gateways, double draw)
+{
+    const Duration spread = std::min(MAX_WATCH_SPREAD, (gateways - 1) * WATCH_SPREAD_PER_GATEWAY);
+    return MIN_WATCH_DURATION + randomPart(spread, draw);
 }
 
 }
--- a/src/gateway/listreadplan.h
+++ b/src/gateway/listreadplan.h
@@ -1,8 +1,13 @@
 /** \file
- * Schedules a gateway's reads of the endpoint list from the store. One gateway's read serves all gateways: all of them
- * receive its result at the same moment, and with a fixed interval they would all read again at the same later moment.
- * Random delays within a spread that grows with the number of gateways let one of them read first, as in the
- * suppression of multicast receiver reports.
+ * Schedules a gateway's calls to the store so that those of different gateways fall on different times.
+ *
+ * One gateway's read of the endpoint list serves all gateways: all of them receive its result at the same moment, and
+ * with a fixed interval they would all read again at the same later moment. Random delays within a spread that grows
+ * with the number of gateways let one of them read first, as in the suppression of multicast receiver reports.
+ *
+ * In the same way a change ends all watches of the configuration at the same moment. With random durations the next
+ * ones end one after the other, so that some gateway soon notices that its watch is answered no more, and the others
+ * learn of a change from its digest.
  */
 #pragma once
 
@@ -15,4 +20,7 @@
  * `draw` is a random number, uniform in [0, 1). */
 Duration listReadDelay(Duration interval, int gateways, double draw);
 
+/** Returns how long the store may hold a watch of the configuration. `draw` is a random number, uniform in [0, 1). */
+Duration configurationWatchDuration(int gateways, double draw);
+
 }
--- a/src/gateway/storelink.cpp
+++ b/src/gateway/storelink.cpp
@@ -17,12 +17,6 @@
 constexpr int OK = 200;
 constexpr int NOT_FOUND = 404;
 constexpr int GONE = 410;
-/** How long the store may hold a watch. Long, since each watch that ends costs a call. A watch that broke without an
- * error is detected sooner through the other gateways: their watches end at other times, and their digests carry the
- * revision. */
-constexpr Duration WATCH_TIMEOUT = milliseconds(6000);
-/** While no other gateway is known, the watch alone must find a change within the required two seconds. */
-constexpr Duration WATCH_TIMEOUT_WITHOUT_PEERS = milliseconds(2000);
 /** A watch counts as lost when it has no response this long after its timeout. */
 constexpr Duration WATCH_RESPONSE_MARGIN = milliseconds(500);
 /** Minimum time between two reads that don't wait for the watch; reads are priced. */
@@ -150,7 +144,7 @@
 
 void StoreLink::watchConfiguration()
 {
-    const Duration wait = m_hasPeers ? WATCH_TIMEOUT : WATCH_TIMEOUT_WITHOUT_PEERS;
+    const Duration wait = m_listener.configurationWatchDuration();
     m_isWatching = true;
     begin(m_configuration, m_codec.watchConfigurationRequest(m_watchedRevision.revision, wait),
         wait + WATCH_RESPONSE_MARGIN, [this](const StoreResponse &response) { handleConfigurationWatch(response); });
@@ -270,6 +264,10 @@
     begin(m_endpoints, m_codec.listEndpointsRequest(after), READ_TIMEOUT, [this](const StoreResponse &response) {
         if (response.status != OK) {
             setAvailable(m_endpoints, false, "status " + std::to_string(response.status));
+            if (response.status == 0) {
+                // What silenced this connection may have silenced the watch, too.
+                recheckConfiguration("list_unanswered");
+            }
             failListRead();
             return;
         }
--- a/src/gateway/storelink.h
+++ b/src/gateway/storelink.h
@@ -31,6 +31,8 @@
     virtual void endpointsReadFailed() = 0;
     /** How long to wait before the next read of the list of endpoints. */
     virtual Duration delayUntilListRead() = 0;
+    /** How long the store may hold a watch of the configuration. */
+    virtual Duration configurationWatchDuration() = 0;
 };
 
 class StoreLink
@@ -46,11 +48,6 @@
     void handlePeerConfigurationRevision(const StoreRevision &revision);
     /** Postpones the next read of the list of endpoints, because another gateway has just read it. */
     void postponeListRead();
-    /** Sets whether there are live peers, whose digests report changes that this process's watch may miss. */
-    void setHasPeers(bool hasPeers)
-    {
-        m_hasPeers = hasPeers;
-    }
     /** The revision of the latest configuration that the store returned; it may not be in force. */
     StoreRevision latestConfigurationRevision() const
     {
@@ -125,8 +122,6 @@
     /** When the configuration was last read without waiting for the watch. */
     TimePoint m_recheckedAt;
     bool m_isWatching = false;
-    /** Whether other gateways are live, so that their digests report changes. */
-    bool m_hasPeers = false;
     /** Whether a read of the list is in progress. */
     bool m_isListReadInProgress = false;
     /** Items of the pages received so far of the list being read. */
--- a/test/correctness/endpointlist.cpp
+++ b/test/correctness/endpointlist.cpp
@@ -248,3 +248,20 @@
         CHECK(fleet.maxListAge() < milliseconds(1700));
     }
 }
+
+TEST_CASE("after a change, the watches of a fleet end one after the other")
+{
+    CHECK(configurationWatchDuration(1, 0.99) == milliseconds(2000));
+    for (unsigned seed = 0; seed < 200; ++seed) {
+        std::mt19937 random(seed);
+        std::uniform_real_distribution<double> draw(0, 1);
+        std::vector<Duration> ends;
+        for (int gateway = 0; gateway < 12; ++gateway) {
+            ends.push_back(configurationWatchDuration(12, draw(random)));
+        }
+        const auto [first, last] = std::minmax_element(ends.begin(), ends.end());
+        CHECK(*first < milliseconds(4000));
+        CHECK(*last - *first > milliseconds(1500));
+        CHECK(*last < milliseconds(6000));
+    }
+}
