A gateway whose configuration may be outdated answers 503 instead of 404 and 401

Callers with a new key or on a new route were turned away for good by a gateway that was cut off from the store, had missed a change, or couldn't decode it: 404 and 401 aren't repeated, though the next gateway would have served them. A refusal said what the configuration in hand lacks, not what the operator allows.

Now such a refusal needs a configuration that is known to be the newest: confirmed by the store to any gateway within confirmation_timeout_ms (the platform's stable_ms; digests carry the time), not older than a live peer's, not followed by one that can't be decoded, and not newer than what a restored store holds. Otherwise the answer is 503 with Retry-After, and the configuration is read again. What is in hand serves on; what it lacks never runs.

--- a/src/gateway/admitrequest.cpp
+++ b/src/gateway/admitrequest.cpp
@@ -19,6 +19,8 @@
         return "unknown_route";
     case GatewayRefusal::UnknownKey:
         return "unknown_key";
+    case GatewayRefusal::ConfigurationOutdated:
+        return "configuration_outdated";
     case GatewayRefusal::MissingId:
         return "missing_id";
     case GatewayRefusal::BadRequest:
@@ -65,6 +67,7 @@
     case GatewayRefusal::EndpointMalformed:
         return 502;
     case GatewayRefusal::NoConfiguration:
+    case GatewayRefusal::ConfigurationOutdated:
     case GatewayRefusal::NoEndpoint:
     case GatewayRefusal::AllFull:
     case GatewayRefusal::Overloaded:
@@ -78,6 +81,12 @@
     return 503;
 }
 
+GatewayRefusal refusalInDoubt(GatewayRefusal refusal, ConfigurationDoubt doubt)
+{
+    const bool isAboutContent = refusal == GatewayRefusal::UnknownRoute || refusal == GatewayRefusal::UnknownKey;
+    return isAboutContent && doubt != ConfigurationDoubt::None ? GatewayRefusal::ConfigurationOutdated : refusal;
+}
+
 int enginePriority(const AdmittedRequest &request)
 {
     constexpr int ROUTE_PRIORITIES = 3;
--- a/src/gateway/admitrequest.h
+++ b/src/gateway/admitrequest.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "configurationfreshness.h"
 #include "requesttraits.h"
 #include "routingconfiguration.h"
 
@@ -19,6 +20,8 @@
     NoConfiguration,
     UnknownRoute,
     UnknownKey,
+    /** The configuration has no such route or key, but a newer one may. */
+    ConfigurationOutdated,
     /** The caller sent no attempt id. */
     MissingId,
     BadRequest,
@@ -65,6 +68,9 @@
 AdmissionResult admitRequest(
     const RoutingConfiguration *configuration, const HttpRequestHead &head, const RequestTraits &traits);
 
+/** Returns the refusal to answer with: while the configuration is in doubt, what it lacks isn't known to be missing. */
+GatewayRefusal refusalInDoubt(GatewayRefusal refusal, ConfigurationDoubt doubt);
+
 /** Number of priority levels of an engine; level 0 is the most urgent. */
 constexpr int ENGINE_PRIORITY_LEVELS = 10;
 
--- /dev/null
+++ b/src/gateway/configurationfreshness.cpp
@@ -0,0 +1,42 @@
+/** \file
+ * Assessment of the configuration in force.
+ */
+#include "configurationfreshness.h"
+
+namespace Cyclamenturn
+{
+
+ConfigurationDoubt doubtConfiguration(
+    const ConfigurationKnowledge &knowledge, Duration confirmationTimeout, TimePoint now)
+{
+    if (knowledge.isLatestUnreadable) {
+        return ConfigurationDoubt::Unreadable;
+    }
+    if (knowledge.isOlderInStore) {
+        return ConfigurationDoubt::OlderInStore;
+    }
+    if (knowledge.newestPeerVersion > knowledge.version) {
+        return ConfigurationDoubt::NewerAtPeer;
+    }
+    return now - knowledge.confirmedAt >= confirmationTimeout ? ConfigurationDoubt::Unconfirmed
+                                                              : ConfigurationDoubt::None;
+}
+
+const char *toString(ConfigurationDoubt doubt)
+{
+    switch (doubt) {
+    case ConfigurationDoubt::None:
+        return "none";
+    case ConfigurationDoubt::Unconfirmed:
+        return "unconfirmed";
+    case ConfigurationDoubt::NewerAtPeer:
+        return "newer_at_peer";
+    case ConfigurationDoubt::Unreadable:
+        return "unreadable";
+    case ConfigurationDoubt::OlderInStore:
+        return "older_in_store";
+    }
+    return "none";
+}
+
+}
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -88,6 +88,8 @@
     out.incarnation = m_incarnation;
     out.sequence = ++m_digestSequence;
     out.configurationRevision = m_store.latestConfigurationRevision();
+    out.configurationVersion = m_store.configurationSelection().version();
+    out.configurationConfirmedAt = m_store.configurationConfirmedAt();
     out.demand = m_placement.split().ownDemand(m_loop.now());
     for (const auto &[id, statistics] : m_statistics) {
         if (statistics.inFlight() > 0) {
@@ -109,6 +111,7 @@
 {
     m_placement.split().setPeerDemand(m_peers.demand());
     m_store.handlePeerConfigurationRevision(digest.configurationRevision);
+    m_store.handlePeerConfirmation(digest.configurationRevision, digest.configurationConfirmedAt);
     for (const auto &cleared : digest.clearedSuspects) {
         m_quarantine.merge(cleared, m_loop.now());
     }
@@ -118,6 +121,23 @@
     }
 }
 
+ConfigurationDoubt Gateway::configurationDoubt() const
+{
+    const ConfigurationSelection &selection = m_store.configurationSelection();
+    ConfigurationKnowledge knowledge;
+    knowledge.version = selection.version();
+    knowledge.confirmedAt = m_store.configurationConfirmedAt();
+    knowledge.newestPeerVersion = m_peers.newestConfigurationVersion();
+    knowledge.isLatestUnreadable = selection.isLatestUnreadable();
+    knowledge.isOlderInStore = selection.hasDeferred();
+    return doubtConfiguration(knowledge, m_settings.confirmationTimeout, m_loop.now());
+}
+
+void Gateway::recheckConfiguration()
+{
+    m_store.recheckConfiguration("refusal_in_doubt");
+}
+
 void Gateway::reload(const GatewaySettings &settings)
 {
     if (!(settings.store == m_settings.store)) {
@@ -126,6 +146,7 @@
     m_settings.store = settings.store;
     m_settings.stopGrace = settings.stopGrace;
     m_settings.assumedGateways = settings.assumedGateways;
+    m_settings.confirmationTimeout = settings.confirmationTimeout;
 }
 
 void Gateway::beginStop()
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "configurationfreshness.h"
 #include "connectionpool.h"
 #include "crashquarantine.h"
 #include "endpointdirectory.h"
@@ -41,8 +42,8 @@
     ~Gateway() override;
 
     void start();
-    /** Applies the settings that may change while the process runs: the store, the grace time and the assumed
-     * gateways. */
+    /** Applies the settings that may change while the process runs: the store, the grace time, the assumed gateways and
+     * the confirmation timeout. */
     void reload(const GatewaySettings &settings);
     /** Starts a graceful stop: readiness checks fail, and each caller connection closes after its current response. */
     void beginStop();
@@ -72,6 +73,9 @@
     {
         return m_store;
     }
+    ConfigurationDoubt configurationDoubt() const;
+    /** Confirms the configuration with the store soon, because a request was refused while it is in doubt. */
+    void recheckConfiguration();
     EndpointStatistics &statistics(const std::string &endpointId)
     {
         return m_statistics[endpointId];
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -18,6 +18,8 @@
 /** Together with the random spread of listReadDelay(), this stays below the two seconds after which a leaving
  * endpoint must receive no more work, and leaves time for a slow response. */
 constexpr std::int64_t DEFAULT_LIST_INTERVAL_MS = 700;
+/** The platform's time after a disturbance in which a gateway may be behind. */
+constexpr std::int64_t DEFAULT_CONFIRMATION_TIMEOUT_MS = 3000;
 
 PlacementRule readRule(CheckedTable &table)
 {
@@ -98,6 +100,7 @@
         root.number("stop_grace_s", 0.1, 3600, DEFAULT_STOP_GRACE_MS / 1000.0) * MICROSECONDS_PER_SECOND));
     out.assumedGateways = static_cast<int>(root.integer("assumed_gateways", 1, 100000, out.assumedGateways));
     out.listInterval = root.duration("list_interval_ms", 50, MAX_MS, DEFAULT_LIST_INTERVAL_MS);
+    out.confirmationTimeout = root.duration("confirmation_timeout_ms", 100, MAX_MS, DEFAULT_CONFIRMATION_TIMEOUT_MS);
     readRetries(root.table("retries"), out.retries);
     readPlacement(root.table("placement"), out.placement);
     readOverload(root.table("overload"), out.overload);
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -33,6 +33,9 @@
     int assumedGateways = 16;
     /** Minimum interval between two reads of the list of endpoints. */
     Duration listInterval{};
+    /** How long a confirmation of the configuration by the store is valid. Afterwards, what the configuration lacks may
+     * have been added. */
+    Duration confirmationTimeout{};
     RetryBudgetSettings retries;
     PlacementPolicy placement;
     OverloadSettings overload;
--- a/src/gateway/peerdigest.cpp
+++ b/src/gateway/peerdigest.cpp
@@ -7,6 +7,7 @@
 #include "rendezvoushash.h"
 
 #include <algorithm>
+#include <limits>
 #include <sstream>
 
 namespace Cyclamenturn
@@ -20,7 +21,8 @@
 
 Poco::UInt32 ageMs(TimePoint at, TimePoint now)
 {
-    return static_cast<Poco::UInt32>(std::max<std::int64_t>(0, toMilliseconds(now - at)));
+    return static_cast<Poco::UInt32>(
+        std::clamp<std::int64_t>(toMilliseconds(now - at), 0, std::numeric_limits<Poco::UInt32>::max()));
 }
 
 }
@@ -56,7 +58,8 @@
         const ClearedSuspect &cleared = digest.clearedSuspects[i];
         out << Poco::UInt64(cleared.fingerprint) << ageMs(cleared.at, now);
     }
-    out << Poco::UInt64(digest.configurationRevision.era);
+    out << Poco::UInt64(digest.configurationRevision.era) << Poco::UInt64(digest.configurationVersion)
+        << ageMs(digest.configurationConfirmedAt, now);
     out.flush();
     return stream.str();
 }
@@ -77,6 +80,8 @@
     float longAnswers = 0;
     Poco::UInt64 configurationRevision = 0;
     Poco::UInt64 configurationEra = 0;
+    Poco::UInt64 configurationVersion = 0;
+    Poco::UInt32 configurationAge = 0;
     if (!readText(in, out.name)) {
         return std::nullopt;
     }
@@ -113,8 +118,10 @@
         in >> fingerprint >> age;
         out.clearedSuspects.push_back({fingerprint, now - milliseconds(age)});
     }
-    in >> configurationEra;
+    in >> configurationEra >> configurationVersion >> configurationAge;
     out.configurationRevision = {configurationEra, configurationRevision};
+    out.configurationVersion = configurationVersion;
+    out.configurationConfirmedAt = now - milliseconds(configurationAge);
     if (!in.good() || out.name.empty()) {
         return std::nullopt;
     }
--- a/src/gateway/peerdigest.h
+++ b/src/gateway/peerdigest.h
@@ -46,6 +46,10 @@
     std::uint32_t sequence = 0;
     /** Revision of the latest configuration that the gateway has read; 0 while there is none. */
     StoreRevision configurationRevision;
+    /** The version that the gateway applies; 0 while there is none. */
+    std::uint64_t configurationVersion = 0;
+    /** When the store last confirmed `configurationRevision`, to this gateway or to another one. */
+    TimePoint configurationConfirmedAt;
     WorkloadDemand demand;
     /** Endpoints at which the gateway has requests. */
     std::vector<EndpointRequests> endpointRequests;
--- a/src/gateway/peerview.cpp
+++ b/src/gateway/peerview.cpp
@@ -100,6 +100,15 @@
     return std::vector<Address>(out.begin(), out.end());
 }
 
+std::uint64_t PeerView::newestConfigurationVersion() const
+{
+    std::uint64_t out = 0;
+    for (const auto &[name, peer] : m_peers) {
+        out = std::max(out, peer.digest.configurationVersion);
+    }
+    return out;
+}
+
 PeerLoad PeerView::loadAt(std::uint32_t endpoint) const
 {
     const auto found = m_loads.find(endpoint);
--- a/src/gateway/peerview.h
+++ b/src/gateway/peerview.h
@@ -48,6 +48,8 @@
     std::vector<Address> liveAddresses() const;
     /** Whether a live peer has that address. */
     bool isLive(const Address &address) const;
+    /** The highest version of the configuration that a live peer applies; 0 without peers. */
+    std::uint64_t newestConfigurationVersion() const;
     PeerLoad loadAt(std::uint32_t endpoint) const;
     WorkloadDemand demand() const;
 
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -86,7 +86,7 @@
     m_configuration = m_gateway.configuration();
     const AdmissionResult result = admitRequest(m_configuration.get(), m_request.head, m_traits);
     if (const auto *refusal = std::get_if<GatewayRefusal>(&result)) {
-        refuse(*refusal);
+        refuseByConfiguration(*refusal);
         return;
     }
     m_admitted = std::get<AdmittedRequest>(result);
@@ -538,6 +538,16 @@
     finish(0, toString(GatewayRefusal::CallerDisconnected));
 }
 
+void RequestFlow::refuseByConfiguration(GatewayRefusal refusal)
+{
+    m_failedCheck = toString(refusal);
+    const GatewayRefusal answer = refusalInDoubt(refusal, m_gateway.configurationDoubt());
+    if (answer == GatewayRefusal::ConfigurationOutdated) {
+        m_gateway.recheckConfiguration();
+    }
+    refuse(answer);
+}
+
 void RequestFlow::refuse(GatewayRefusal refusal)
 {
     const bool isWaitUnknown = refusal == GatewayRefusal::NoConfiguration || refusal == GatewayRefusal::NoEndpoint;
@@ -568,7 +578,9 @@
     const TimePoint now = m_gateway.loop().now();
     const StoreLink &store = m_gateway.store();
     const ConfigurationOrigin &origin = store.configurationOrigin();
-    event.field("method", m_request.head.method)
+    event.field("check", m_failedCheck != nullptr ? m_failedCheck : "none")
+        .field("doubt", toString(m_gateway.configurationDoubt()))
+        .field("method", m_request.head.method)
         .field("host", requestedHost(m_request.head))
         .field("path", loggedPath(m_request.head))
         .field("from_endpoint", m_responseHead.status != 0 ? 1 : 0)
@@ -577,7 +589,7 @@
         .field("configuration_era", static_cast<long long>(origin.revision.era))
         .field("configuration_revision", static_cast<long long>(origin.revision.revision))
         .field("configuration_age_ms", toMilliseconds(now - origin.receivedAt))
-        .field("configuration_checked_ms", toMilliseconds(now - store.configurationCheckedAt()))
+        .field("configuration_confirmed_ms", toMilliseconds(now - store.configurationConfirmedAt()))
         .field("store_era", static_cast<long long>(store.storeRevision().era))
         .field("store_revision", static_cast<long long>(store.storeRevision().revision));
 }
@@ -613,7 +625,7 @@
     if (m_configuration) {
         event.field("configuration", static_cast<long long>(m_configuration->version()));
     }
-    if (status >= FIRST_REDIRECTION && status < FIRST_SERVER_ERROR) {
+    if (m_failedCheck != nullptr || (status >= FIRST_REDIRECTION && status < FIRST_SERVER_ERROR)) {
         logRejectionInputs(event);
     }
     event.field("endpoints_revision", static_cast<long long>(m_gateway.endpoints().revision()));
--- a/src/gateway/requestflow.h
+++ b/src/gateway/requestflow.h
@@ -73,11 +73,13 @@
     /** Ends the request without a resend: aborts a stream that has started, or else refuses the request. */
     void giveUp(AttemptOutcome outcome, GatewayRefusal reason);
 
+    /** Refuses a request that isn't admitted. */
+    void refuseByConfiguration(GatewayRefusal refusal);
     void refuse(GatewayRefusal refusal);
     void refuse(GatewayRefusal refusal, Duration retryAfter);
     void respond(HttpResponseHead head, const std::string &body, const char *outcome);
     void finish(int status, const char *outcome);
-    /** Adds what led to a response with a 3xx or 4xx status. */
+    /** Adds what led to a response with a 3xx or 4xx status, or to a refusal at admission. */
     void logRejectionInputs(LogEvent &event) const;
     void logOutcome(int status, const char *outcome, Duration took) const;
     Duration timeLeft() const;
@@ -122,6 +124,8 @@
     bool m_mayHaveRun = false;
     EventSplitter m_splitter;
     std::string m_lastEventId;
+    /** Name of the check at admission that the request failed, or null. */
+    const char *m_failedCheck = nullptr;
     /** Why a stream was aborted after events had been delivered. */
     const char *m_abortReason = "none";
     /** Whether the request was counted in the demand of its workload, so that its end must be counted too. */
--- a/src/gateway/storelink.cpp
+++ b/src/gateway/storelink.cpp
@@ -127,7 +127,7 @@
         m_watchedRevision.era = response.era;
         const StoreItem item = m_codec.decodeItem(response.body, m_watchedRevision.revision);
         setAvailable(m_configuration, true, "read");
-        noteConfigurationChecked();
+        noteConfigurationConfirmed();
         handleConfigurationItem(item, "read");
         watchConfiguration();
     } catch (const MessageFormatError &error) {
@@ -170,7 +170,7 @@
     try {
         const StorePage page = m_codec.decodeWatch(response.body);
         m_watchedRevision.revision = std::max(m_watchedRevision.revision, page.storeRevision);
-        noteConfigurationChecked();
+        noteConfigurationConfirmed();
         for (const auto &item : page.items) {
             handleConfigurationItem(item, "watch");
         }
@@ -188,6 +188,13 @@
     }
 }
 
+void StoreLink::handlePeerConfirmation(const StoreRevision &revision, TimePoint at)
+{
+    if (revision == latestConfigurationRevision()) {
+        m_configurationConfirmedAt = std::max(m_configurationConfirmedAt, at);
+    }
+}
+
 void StoreLink::recheckConfiguration(const char *reason)
 {
     if (!m_isWatching || m_loop.now() - m_recheckedAt < RECHECK_INTERVAL) {
@@ -201,10 +208,10 @@
     readConfiguration();
 }
 
-void StoreLink::noteConfigurationChecked()
+void StoreLink::noteConfigurationConfirmed()
 {
     m_storeRevision = m_watchedRevision;
-    m_configurationCheckedAt = m_loop.now();
+    m_configurationConfirmedAt = m_loop.now();
 }
 
 void StoreLink::handleConfigurationItem(const StoreItem &item, const char *source)
--- a/src/gateway/storelink.h
+++ b/src/gateway/storelink.h
@@ -46,6 +46,11 @@
     /** Handles the latest revision of the configuration that another gateway has read: reads the configuration if that
      * revision is new. */
     void handlePeerConfigurationRevision(const StoreRevision &revision);
+    /** Records that the store confirmed to another gateway at that time that this is the latest revision of the
+     * configuration. */
+    void handlePeerConfirmation(const StoreRevision &revision, TimePoint at);
+    /** Reads the configuration now instead of waiting for the watch. `reason` is logged. */
+    void recheckConfiguration(const char *reason);
     /** Postpones the next read of the list of endpoints, because another gateway has just read it. */
     void postponeListRead();
     /** The revision of the latest configuration that the store returned; it may not be in force. */
@@ -63,10 +68,14 @@
     {
         return m_storeRevision;
     }
-    /** When the store last answered a call about the configuration. */
-    TimePoint configurationCheckedAt() const
+    /** When the store last confirmed the latest revision of the configuration, to this gateway or to another one. */
+    TimePoint configurationConfirmedAt() const
+    {
+        return m_configurationConfirmedAt;
+    }
+    const ConfigurationSelection &configurationSelection() const
     {
-        return m_configurationCheckedAt;
+        return m_selection;
     }
     std::uint64_t calls() const
     {
@@ -91,8 +100,6 @@
     void applyConfiguration(RoutingConfigurationPtr configuration, const ConfigurationOrigin &origin);
     /** Keeps an older version of a restored store, and applies it later if nothing newer comes. */
     void deferConfiguration(RoutingConfigurationPtr configuration, const ConfigurationOrigin &origin);
-    /** Reads the configuration now instead of waiting for the watch. `reason` is logged. */
-    void recheckConfiguration(const char *reason);
     void retryConfiguration(Duration wait);
     void readEndpoints();
     void scheduleListRead(Duration wait);
@@ -103,7 +110,7 @@
         std::function<void(const StoreResponse &response)> responseHandler);
     void noteEra(const Channel &channel, const StoreResponse &response);
     /** Records that the store has just answered a call about the configuration. */
-    void noteConfigurationChecked();
+    void noteConfigurationConfirmed();
     void setAvailable(Channel &channel, bool available, const std::string &reason);
 
     EventLoop &m_loop;
@@ -118,7 +125,7 @@
     ConfigurationOrigin m_configurationOrigin;
     EventLoop::Timer m_deferredTimer;
     StoreRevision m_storeRevision;
-    TimePoint m_configurationCheckedAt;
+    TimePoint m_configurationConfirmedAt;
     /** When the configuration was last read without waiting for the watch. */
     TimePoint m_recheckedAt;
     bool m_isWatching = false;
--- a/test/correctness/gateway_decisions.cpp
+++ b/test/correctness/gateway_decisions.cpp
@@ -91,6 +91,29 @@
     CHECK(statusOf(std::get<GatewayRefusal>(result)) == 503);
 }
 
+TEST_CASE("what the configuration lacks is refused with 503 while a newer one may exist")
+{
+    constexpr Duration TIMEOUT = milliseconds(3000);
+    ConfigurationKnowledge knowledge;
+    knowledge.version = 5;
+    knowledge.confirmedAt = START;
+    knowledge.newestPeerVersion = 5;
+    CHECK(doubtConfiguration(knowledge, TIMEOUT, START + TIMEOUT - milliseconds(1)) == ConfigurationDoubt::None);
+    CHECK(doubtConfiguration(knowledge, TIMEOUT, START + TIMEOUT) == ConfigurationDoubt::Unconfirmed);
+    knowledge.newestPeerVersion = 6;
+    CHECK(doubtConfiguration(knowledge, TIMEOUT, START) == ConfigurationDoubt::NewerAtPeer);
+    knowledge.isOlderInStore = true;
+    CHECK(doubtConfiguration(knowledge, TIMEOUT, START) == ConfigurationDoubt::OlderInStore);
+    knowledge.isLatestUnreadable = true;
+    CHECK(doubtConfiguration(knowledge, TIMEOUT, START) == ConfigurationDoubt::Unreadable);
+
+    for (const GatewayRefusal refusal : {GatewayRefusal::UnknownRoute, GatewayRefusal::UnknownKey}) {
+        CHECK(refusalInDoubt(refusal, ConfigurationDoubt::None) == refusal);
+        CHECK(statusOf(refusalInDoubt(refusal, ConfigurationDoubt::Unconfirmed)) == 503);
+    }
+    CHECK(refusalInDoubt(GatewayRefusal::BadRequest, ConfigurationDoubt::Unconfirmed) == GatewayRefusal::BadRequest);
+}
+
 TEST_CASE("the engine priority follows the request's priority, then the route's priority")
 {
     Route urgent = route("h", "/u/");
--- a/test/correctness/peerdigest.cpp
+++ b/test/correctness/peerdigest.cpp
@@ -21,6 +21,8 @@
     out.incarnation = 5;
     out.sequence = sequence;
     out.configurationRevision = {2, 77};
+    out.configurationVersion = 12;
+    out.configurationConfirmedAt = START - milliseconds(700);
     out.demand = {120, 3};
     out.endpointRequests = {{9, inFlight, 1000}};
     out.crashes = {{42, "e", START - milliseconds(500)}};
@@ -38,6 +40,8 @@
     REQUIRE(received);
     CHECK(received->name == "a");
     CHECK(received->configurationRevision == StoreRevision{2, 77});
+    CHECK(received->configurationVersion == 12);
+    CHECK(received->configurationConfirmedAt == otherClock - milliseconds(700));
     CHECK(received->demand == sent.demand);
     CHECK(received->endpointRequests == sent.endpointRequests);
     REQUIRE(received->crashes.size() == 1);
