Gateways follow the list of endpoints of a restored store

The same cause as for the configuration, found by looking for it elsewhere: the list of endpoints and the directory ignored lists whose revision was lower than the one in hand, so after the store had been restored a gateway went on sending to endpoints that had begun to drain and used no new ones, until the revision had caught up. Its age stayed young meanwhile, since the old list was applied again with each read. Updates between gateways and pages of one read had the same fault.

Now lists, updates and decoded entries carry the era. After a restoration, endpoints whose entry is missing are kept for 2.3 s, as after an outage, and for 4 s the copy's entries bring back neither an endpoint that has gone nor the ready state of one that is leaving.

Revisions in the other tests became pairs of era 1; their checks are the same.

--- a/src/gateway/endpointdirectory.h
+++ b/src/gateway/endpointdirectory.h
@@ -1,10 +1,12 @@
 /** \file
- * The endpoints known to this process: the platform's list, read at intervals. After an outage of the list, missing
- * entries are kept for a while, since live endpoints need time to be listed again.
+ * The endpoints known to this process: the platform's list, read at intervals. After an outage of the list, or when the
+ * store was restored from a copy, missing entries are kept for a while, since live endpoints need time to be listed
+ * again.
  */
 #pragma once
 
 #include "address.h"
+#include "storerevision.h"
 #include "timepoint.h"
 
 #include <cstdint>
@@ -70,14 +72,22 @@
      * removes an entry after three missed heartbeats. */
     static constexpr Duration ENTRY_EXPIRY_AGE = milliseconds(3000);
 
-    /** Applies a complete list as of `revision` and returns the changes. Ignores a list older than the current one. */
-    std::vector<EndpointChange> apply(const std::vector<EndpointRecord> &list, std::uint64_t revision, TimePoint now);
+    /** How long after a restoration of the store the copy's entries of endpoints that have gone since may be listed:
+     * the platform removes them after three missed heartbeats. */
+    static constexpr Duration COPIED_ENTRY_LIFETIME = milliseconds(4000);
+    /** How long endpoints that have gone are remembered; copies of the store are seconds old. */
+    static constexpr Duration GONE_RETENTION = milliseconds(30000);
+
+    /** Applies a complete list as of `revision` and returns the changes. Ignores a list older than the current one; a
+     * list of another era is newer. */
+    std::vector<EndpointChange> apply(
+        const std::vector<EndpointRecord> &list, const StoreRevision &revision, TimePoint now);
     /** Records a failed read of the list: the endpoints may be unable to reach the platform, too. */
     void noteReadFailed();
 
     /** The endpoints of a service that accept new requests. */
     std::vector<const EndpointRecord *> usable(const std::string &service) const;
-    std::uint64_t revision() const
+    const StoreRevision &revision() const
     {
         return m_revision;
     }
@@ -87,10 +97,26 @@
     }
 
 private:
+    /** Adjusts to a restored store, whose list may lack entries and hold outdated ones. */
+    void noteRestoration(TimePoint now);
+    /** Whether the entry is the copy's and its endpoint has gone since. */
+    bool isCopyOfGone(const EndpointRecord &record, TimePoint now) const;
+    void remove(const std::string &id, TimePoint now);
+
+    struct Gone
+    {
+        EndpointRecord record;
+        TimePoint since;
+    };
+
     std::map<std::string, EndpointRecord> m_records;
-    /** Revision of the current list; never decreases. */
-    std::uint64_t m_revision = 0;
+    /** Removed endpoints by id, for GONE_RETENTION. */
+    std::map<std::string, Gone> m_gone;
+    /** Of the current list; increases within an era. */
+    StoreRevision m_revision;
     std::optional<TimePoint> m_readAt;
+    /** Until then, the list may hold entries of a copy of the store. */
+    TimePoint m_copiedEntriesUntil;
     /** Until then, endpoints whose entries are missing are kept. */
     TimePoint m_keepMissingUntil;
     bool m_failedSinceRead = false;
--- a/src/gateway/endpointlist.cpp
+++ b/src/gateway/endpointlist.cpp
@@ -75,9 +75,9 @@
     }
 }
 
-void EndpointList::replace(const std::vector<EndpointRecord> &list, std::uint64_t revision, TimePoint now)
+void EndpointList::replace(const std::vector<EndpointRecord> &list, const StoreRevision &revision, TimePoint now)
 {
-    if (revision < m_revision) {
+    if (revision.era == m_revision.era && revision < m_revision) {
         return;
     }
     Entries next;
@@ -93,7 +93,7 @@
 
 bool EndpointList::merge(const EndpointListUpdate &update, TimePoint now)
 {
-    if (update.revision < m_revision || m_revision == 0) {
+    if (update.revision < m_revision || m_revision == StoreRevision()) {
         return false;
     }
     Entries next = m_entries;
@@ -150,7 +150,7 @@
     }
     std::ostringstream stream;
     Poco::BinaryWriter out(stream, Poco::BinaryWriter::NETWORK_BYTE_ORDER);
-    out << static_cast<Poco::UInt8>(DatagramKind::EndpointListUpdate) << Poco::UInt64(update.revision)
+    out << static_cast<Poco::UInt8>(DatagramKind::EndpointListUpdate) << Poco::UInt64(update.revision.revision)
         << Poco::UInt64(update.hash) << static_cast<Poco::UInt8>(update.changed.size());
     for (const auto &record : update.changed) {
         write(out, record);
@@ -159,6 +159,7 @@
     for (const auto &id : update.removed) {
         out << id;
     }
+    out << Poco::UInt64(update.revision.era);
     out.flush();
     std::string bytes = stream.str();
     return bytes.size() > MAX_DATAGRAM_BYTES ? std::nullopt : std::optional<std::string>(std::move(bytes));
@@ -177,7 +178,6 @@
         return std::nullopt;
     }
     EndpointListUpdate out;
-    out.revision = revision;
     out.hash = hash;
     for (int i = 0; i < count; ++i) {
         EndpointRecord record;
@@ -195,6 +195,9 @@
         }
         out.removed.push_back(std::move(id));
     }
+    Poco::UInt64 era = 0;
+    in >> era;
+    out.revision = {era, revision};
     if (!in.good()) {
         return std::nullopt;
     }
--- a/src/gateway/endpointlist.h
+++ b/src/gateway/endpointlist.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "endpointdirectory.h"
+#include "storerevision.h"
 
 #include <cstdint>
 #include <map>
@@ -23,7 +24,7 @@
 struct EndpointListUpdate
 {
     /** Store revision at which the list was read. */
-    std::uint64_t revision = 0;
+    StoreRevision revision;
     /** Combined hash of all entries of the list, including unchanged ones. */
     std::uint64_t hash = 0;
     /** Entries that were added or changed. */
@@ -38,8 +39,9 @@
     /** How long a change is included in updates, so that a gateway may miss several updates in a row. */
     static constexpr Duration CHANGE_RETENTION = milliseconds(4000);
 
-    /** Replaces the entries by a list read from the store. A list older than the current one is ignored. */
-    void replace(const std::vector<EndpointRecord> &list, std::uint64_t revision, TimePoint now);
+    /** Replaces the entries by a list read from the store. A list older than the current one is ignored. One of another
+     * era isn't older: this process reads lists one after the other. */
+    void replace(const std::vector<EndpointRecord> &list, const StoreRevision &revision, TimePoint now);
     /**
      * Applies an update from another gateway. Returns false and leaves the list unchanged if the update is older than
      * the list, if no list was read yet, or if the hash shows that the list would be incomplete.
@@ -49,7 +51,7 @@
     EndpointListUpdate recentChanges(TimePoint now) const;
 
     std::vector<EndpointRecord> records() const;
-    std::uint64_t revision() const
+    const StoreRevision &revision() const
     {
         return m_revision;
     }
@@ -71,7 +73,8 @@
     Entries m_entries;
     /** Removal times of recently removed entries, by endpoint id. */
     std::map<std::string, TimePoint> m_removed;
-    std::uint64_t m_revision = 0;
+    /** Zero before the first list. */
+    StoreRevision m_revision;
 };
 
 /** Serializes an update. Returns nothing if it doesn't fit into a datagram; the other gateways then read the list
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -301,7 +301,7 @@
     }
 }
 
-void Gateway::endpointsRead(const std::vector<EndpointRecord> &list, std::uint64_t revision)
+void Gateway::endpointsRead(const std::vector<EndpointRecord> &list, const StoreRevision &revision)
 {
     const TimePoint now = m_loop.now();
     m_metrics.count("cyclamenturn_endpoint_lists", {{"from", "store"}});
@@ -370,7 +370,8 @@
         .field("endpoint", record.id)
         .field("service", record.service)
         .field("address", toString(record.address))
-        .field("revision", static_cast<long long>(m_list.revision()));
+        .field("revision", static_cast<long long>(m_list.revision().revision))
+        .field("era", static_cast<long long>(m_list.revision().era));
 }
 
 void Gateway::endpointsReadFailed()
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -136,7 +136,7 @@
 
 private:
     void configurationRead(RoutingConfigurationPtr configuration, const ConfigurationOrigin &origin) override;
-    void endpointsRead(const std::vector<EndpointRecord> &list, std::uint64_t revision) override;
+    void endpointsRead(const std::vector<EndpointRecord> &list, const StoreRevision &revision) override;
     void endpointsReadFailed() override;
     Duration delayUntilListRead() override;
     Duration configurationWatchDuration() override;
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -628,7 +628,7 @@
     if (m_failedCheck != nullptr || (status >= FIRST_REDIRECTION && status < FIRST_SERVER_ERROR)) {
         logRejectionInputs(event);
     }
-    event.field("endpoints_revision", static_cast<long long>(m_gateway.endpoints().revision()));
+    event.field("endpoints_revision", static_cast<long long>(m_gateway.endpoints().revision().revision));
     if (m_gateway.endpoints().readAt()) {
         event.field("endpoints_age_ms", toMilliseconds(now - *m_gateway.endpoints().readAt()));
     }
--- a/src/gateway/storelink.cpp
+++ b/src/gateway/storelink.cpp
@@ -281,7 +281,12 @@
         try {
             StorePage page = m_codec.decodePage(response.body);
             if (m_listItems.empty()) {
-                m_listRevision = page.storeRevision;
+                m_listRevision = {response.era, page.storeRevision};
+            } else if (response.era != m_listRevision.era) {
+                // The earlier pages are those of the store before its restoration.
+                m_listItems.clear();
+                readEndpoints();
+                return;
             }
             m_listItems.insert(m_listItems.end(), page.items.begin(), page.items.end());
             if (page.hasMore && !page.items.empty()) {
@@ -339,8 +344,9 @@
 {
     const bool isNew = m_decodedEndpoints.count(item.key) == 0;
     Decoded &decoded = m_decodedEndpoints[item.key];
-    if (decoded.revision != item.revision) {
-        decoded.revision = item.revision;
+    const StoreRevision revision{m_listRevision.era, item.revision};
+    if (decoded.revision != revision) {
+        decoded.revision = revision;
         try {
             decoded.record = m_codec.decodeEndpoint(item);
         } catch (const MessageFormatError &error) {
--- a/src/gateway/storelink.h
+++ b/src/gateway/storelink.h
@@ -27,7 +27,7 @@
 public:
     virtual ~StoreLinkListener() = default;
     virtual void configurationRead(RoutingConfigurationPtr configuration, const ConfigurationOrigin &origin) = 0;
-    virtual void endpointsRead(const std::vector<EndpointRecord> &list, std::uint64_t revision) = 0;
+    virtual void endpointsRead(const std::vector<EndpointRecord> &list, const StoreRevision &revision) = 0;
     virtual void endpointsReadFailed() = 0;
     /** How long to wait before the next read of the list of endpoints. */
     virtual Duration delayUntilListRead() = 0;
@@ -134,10 +134,10 @@
     /** Items of the pages received so far of the list being read. */
     std::vector<StoreItem> m_listItems;
     /** Store revision of the first page: the list contains all changes up to it. */
-    std::uint64_t m_listRevision = 0;
+    StoreRevision m_listRevision;
     struct Decoded
     {
-        std::uint64_t revision = 0;
+        StoreRevision revision;
         std::optional<EndpointRecord> record;
     };
     /** Decoded registrations by key, so that unchanged ones aren't parsed again. */
--- a/test/correctness/endpointdirectory.cpp
+++ b/test/correctness/endpointdirectory.cpp
@@ -45,8 +45,8 @@
 TEST_CASE("leaving and removed endpoints get no requests")
 {
     EndpointDirectory directory;
-    directory.apply({record("a"), record("b"), record("c")}, 1, at(0));
-    CHECK(kinds(directory.apply({record("a"), record("b", true)}, 2, at(1000)))
+    directory.apply({record("a"), record("b"), record("c")}, {1, 1}, at(0));
+    CHECK(kinds(directory.apply({record("a"), record("b", true)}, {1, 2}, at(1000)))
         == std::vector<Kind>{Kind::Leaving, Kind::Removed});
     REQUIRE(directory.usable("s").size() == 1);
     CHECK(directory.usable("s")[0]->id == "a");
@@ -56,36 +56,68 @@
 TEST_CASE("an older list is ignored")
 {
     EndpointDirectory directory;
-    directory.apply({record("a", true)}, 5, at(0));
-    CHECK(directory.apply({record("a")}, 4, at(100)).empty());
+    directory.apply({record("a", true)}, {1, 5}, at(0));
+    CHECK(directory.apply({record("a")}, {1, 4}, at(100)).empty());
     CHECK(directory.usable("s").empty());
-    CHECK(directory.revision() == 5);
+    CHECK(directory.revision() == StoreRevision{1, 5});
 }
 
 TEST_CASE("entries that expired during an outage are kept until live endpoints are listed again")
 {
     EndpointDirectory directory;
-    directory.apply({record("a"), record("b")}, 1, at(0));
+    directory.apply({record("a"), record("b")}, {1, 1}, at(0));
     directory.noteReadFailed();
-    CHECK(directory.apply({}, 9, at(5000)).empty());
+    CHECK(directory.apply({}, {1, 9}, at(5000)).empty());
     CHECK(directory.usable("s").size() == 2);
-    directory.apply({record("a")}, 10, at(6500));
+    directory.apply({record("a")}, {1, 10}, at(6500));
     CHECK(directory.usable("s").size() == 2);
-    CHECK(kinds(directory.apply({record("a")}, 11, at(7400))) == std::vector<Kind>{Kind::Removed});
+    CHECK(kinds(directory.apply({record("a")}, {1, 11}, at(7400))) == std::vector<Kind>{Kind::Removed});
     CHECK(directory.usable("s").size() == 1);
 }
 
 TEST_CASE("a single failed read doesn't count as an outage")
 {
     EndpointDirectory directory;
-    directory.apply({record("a"), record("b")}, 1, at(0));
+    directory.apply({record("a"), record("b")}, {1, 1}, at(0));
     directory.noteReadFailed();
-    CHECK(kinds(directory.apply({record("a")}, 2, at(1500))) == std::vector<Kind>{Kind::Removed});
+    CHECK(kinds(directory.apply({record("a")}, {1, 2}, at(1500))) == std::vector<Kind>{Kind::Removed});
+}
+
+TEST_CASE("a list of a restored store is newer whatever its revision")
+{
+    EndpointDirectory directory;
+    directory.apply({record("a"), record("b")}, {1, 90}, at(0));
+    CHECK(kinds(directory.apply({record("a", true), record("c")}, {2, 40}, at(1000)))
+        == std::vector<Kind>{Kind::Leaving, Kind::Added});
+    CHECK(directory.usable("s").size() == 2); // b may not have registered again yet
+    CHECK(kinds(directory.apply({record("a", true), record("c")}, {2, 44}, at(3400)))
+        == std::vector<Kind>{Kind::Removed});
+}
+
+TEST_CASE("a restored store doesn't bring back endpoints that left or have gone")
+{
+    EndpointDirectory directory;
+    directory.apply({record("a"), record("b"), record("c")}, {1, 90}, at(0));
+    directory.apply({record("a", true), record("c")}, {1, 95}, at(1000));
+    CHECK(directory.apply({record("a"), record("b"), record("c")}, {2, 90}, at(2000)).empty());
+    REQUIRE(directory.usable("s").size() == 1);
+    CHECK(directory.usable("s")[0]->id == "c");
+    CHECK(kinds(directory.apply({record("a", false, 2), record("b", false, 2), record("c")}, {2, 93}, at(2500)))
+        == std::vector<Kind>{Kind::Restarted, Kind::Added});
+    CHECK(directory.usable("s").size() == 3);
+}
+
+TEST_CASE("an endpoint whose entry expired and that is listed again is used again")
+{
+    EndpointDirectory directory;
+    directory.apply({record("a"), record("b")}, {1, 90}, at(0));
+    directory.apply({record("a")}, {1, 95}, at(1000));
+    CHECK(kinds(directory.apply({record("a"), record("b")}, {1, 96}, at(1500))) == std::vector<Kind>{Kind::Added});
 }
 
 TEST_CASE("a restart under the same id is reported as a new incarnation")
 {
     EndpointDirectory directory;
-    directory.apply({record("a")}, 1, at(0));
-    CHECK(kinds(directory.apply({record("a", false, 2)}, 2, at(1000))) == std::vector<Kind>{Kind::Restarted});
+    directory.apply({record("a")}, {1, 1}, at(0));
+    CHECK(kinds(directory.apply({record("a", false, 2)}, {1, 2}, at(1000))) == std::vector<Kind>{Kind::Restarted});
 }
--- a/test/correctness/endpointlist.cpp
+++ b/test/correctness/endpointlist.cpp
@@ -53,41 +53,41 @@
 {
     EndpointList reader;
     EndpointList other;
-    reader.replace(endpoints(5), 10, START);
-    other.replace(endpoints(5), 10, START);
+    reader.replace(endpoints(5), {1, 10}, START);
+    other.replace(endpoints(5), {1, 10}, START);
     auto next = endpoints(6);
     next.erase(next.begin());
     next[0].isLeaving = true;
     const TimePoint later = START + milliseconds(1000);
-    reader.replace(next, 12, later);
+    reader.replace(next, {1, 12}, later);
     CHECK(other.merge(encodedAndDecoded(reader, later), later));
     CHECK(other.records() == reader.records());
-    CHECK(other.revision() == 12);
+    CHECK(other.revision() == StoreRevision{1, 12});
 }
 
 TEST_CASE("an update is refused if the copy missed a change, and the copy stays unchanged")
 {
     EndpointList reader;
     EndpointList other;
-    reader.replace(endpoints(5), 10, START);
-    other.replace(endpoints(5), 10, START);
-    reader.replace(endpoints(6), 11, START + milliseconds(500));
+    reader.replace(endpoints(5), {1, 10}, START);
+    other.replace(endpoints(5), {1, 10}, START);
+    reader.replace(endpoints(6), {1, 11}, START + milliseconds(500));
     const TimePoint late = START + milliseconds(500) + EndpointList::CHANGE_RETENTION;
-    reader.replace(endpoints(6), 13, late);
+    reader.replace(endpoints(6), {1, 13}, late);
     CHECK_FALSE(other.merge(encodedAndDecoded(reader, late), late));
     CHECK(other.records().size() == 5);
-    CHECK(other.revision() == 10);
+    CHECK(other.revision() == StoreRevision{1, 10});
 }
 
 TEST_CASE("an update includes changes of updates that were lost in the last few seconds")
 {
     EndpointList reader;
     EndpointList other;
-    reader.replace(endpoints(5), 10, START);
-    other.replace(endpoints(5), 10, START);
-    reader.replace(endpoints(4), 11, START + milliseconds(500));
+    reader.replace(endpoints(5), {1, 10}, START);
+    other.replace(endpoints(5), {1, 10}, START);
+    reader.replace(endpoints(4), {1, 11}, START + milliseconds(500));
     const TimePoint later = START + milliseconds(3000);
-    reader.replace(endpoints(4), 15, later);
+    reader.replace(endpoints(4), {1, 15}, later);
     CHECK(other.merge(encodedAndDecoded(reader, later), later));
     CHECK(other.records() == reader.records());
 }
@@ -96,10 +96,10 @@
 {
     EndpointList reader;
     EndpointList other;
-    reader.replace(endpoints(5), 10, START);
-    other.replace(endpoints(6), 11, START);
+    reader.replace(endpoints(5), {1, 10}, START);
+    other.replace(endpoints(6), {1, 11}, START);
     CHECK_FALSE(other.merge(encodedAndDecoded(reader, START), START));
-    other.replace(endpoints(3), 9, START);
+    other.replace(endpoints(3), {1, 9}, START);
     CHECK(other.records().size() == 6);
     EndpointList empty;
     CHECK_FALSE(empty.merge(encodedAndDecoded(reader, START), START));
@@ -108,8 +108,8 @@
 TEST_CASE("incomplete updates are refused, and corrupted ones don't corrupt the list")
 {
     EndpointList reader;
-    reader.replace(endpoints(3), 10, START);
-    reader.replace(endpoints(2), 11, START);
+    reader.replace(endpoints(3), {1, 10}, START);
+    reader.replace(endpoints(2), {1, 11}, START);
     const std::string bytes = *encodeListUpdate(reader.recentChanges(START));
     for (std::size_t length = 0; length < bytes.size(); ++length) {
         CHECK_FALSE(decodeListUpdate(bytes.substr(0, length)));
@@ -119,21 +119,21 @@
         std::string corrupted = bytes;
         corrupted[random() % corrupted.size()] = static_cast<char>(random());
         EndpointList other;
-        other.replace(endpoints(2), 9, START);
+        other.replace(endpoints(2), {1, 9}, START);
         if (const auto update = decodeListUpdate(corrupted)) {
             other.merge(*update, START);
         }
-        CHECK((other.records() == endpoints(2) || other.revision() == 9));
+        CHECK((other.records() == endpoints(2) || other.revision() == StoreRevision{1, 9}));
     }
 }
 
 TEST_CASE("an update that doesn't fit into a datagram isn't sent")
 {
     EndpointList reader;
-    reader.replace(endpoints(200), 10, START);
+    reader.replace(endpoints(200), {1, 10}, START);
     CHECK_FALSE(encodeListUpdate(reader.recentChanges(START)));
     const TimePoint later = START + EndpointList::CHANGE_RETENTION;
-    reader.replace(endpoints(200), 11, later);
+    reader.replace(endpoints(200), {1, 11}, later);
     CHECK(encodeListUpdate(reader.recentChanges(later)));
 }
 
@@ -249,6 +249,22 @@
     }
 }
 
+TEST_CASE("a list of a restored store replaces the copy, and its updates complete other copies")
+{
+    EndpointList reader;
+    EndpointList other;
+    reader.replace(endpoints(5), {1, 90}, START);
+    other.replace(endpoints(5), {1, 90}, START);
+    const TimePoint later = START + milliseconds(1000);
+    reader.replace(endpoints(6), {2, 40}, later);
+    CHECK(reader.revision() == StoreRevision{2, 40});
+    CHECK(other.merge(encodedAndDecoded(reader, later), later));
+    CHECK(other.records() == reader.records());
+    EndpointList behind;
+    behind.replace(endpoints(5), {1, 95}, later);
+    CHECK_FALSE(other.merge(encodedAndDecoded(behind, later), later));
+}
+
 TEST_CASE("after a change, the watches of a fleet end one after the other")
 {
     CHECK(configurationWatchDuration(1, 0.99) == milliseconds(2000));
--- a/test/error/processes_store.py
+++ b/test/error/processes_store.py
@@ -11,6 +11,8 @@
 APPLY_S = 2.0
 # ... unless a disturbance ended less than this time ago.
 STABLE_S = 3.0
+# An endpoint gets no more requests this long after it has begun to drain.
+DRAIN_S = 2.0
 OLD = [route("plain", "desk")]
 NEW = OLD + [route("added", "desk")]
 # Writes that the copy of the store lacks, besides that of the configuration.
@@ -136,6 +138,28 @@
         fleet.expect_in_force(("/added/x", "key-2"), ("/plain/x", "key-1"))
 
 
+def endpoints_follow_a_restored_store():
+    with Fleet(gateways=2) as fleet:
+        copy = fleet.store.copy()
+        fleet.heartbeats(LOST_WRITES)
+        second = Endpoint(answer_ok)
+        fleet.store.put("servers/desk-1", second.registration("desk"))
+        for gateway in fleet.gateways:
+            eventually(lambda gateway=gateway: len(gateway.log_lines("endpoint_added")) == 2, "the second endpoint")
+        fleet.store.restore(copy)
+        # An endpoint whose registration was lost serves on until it has written it again.
+        time.sleep(0.5)
+        assert fleet.serves("/plain/x", "key-1") and not fleet.gateways[0].log_lines("endpoint_gone")
+        fleet.store.put("servers/desk-1", second.registration("desk"))
+        fleet.store.put("servers/desk-0", fleet.endpoint.registration("desk", "draining"))
+        time.sleep(DRAIN_S)
+        served = len(fleet.endpoint.requests)
+        for _ in range(8):
+            assert fleet.serves("/plain/x", "key-1")
+        assert len(fleet.endpoint.requests) == served, "an endpoint got requests after it began to drain"
+        second.server.close()
+
+
 def gateway_registers_again_when_the_store_is_restored():
     with Fleet(gateways=2) as fleet:
         without_gateways = {key: item for key, item in fleet.store.items.items() if key.startswith(("op/", "servers/"))}
