A gateway registers again when the store was restored

Gateways that started after the store had been restored didn't find the others for up to 10 s: a registration that the copy lacked was written again only after the next renewal of its lease had answered 404, and a lease that was given out again in the meantime to another gateway would have been renewed in its place.

gateway_registers_again_when_the_store_is_restored failed before (no registration after 5 s) and passes in three of three.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -138,6 +138,7 @@
     void configurationRead(RoutingConfigurationPtr configuration, const ConfigurationOrigin &origin) override;
     void endpointsRead(const std::vector<EndpointRecord> &list, const StoreRevision &revision) override;
     void endpointsReadFailed() override;
+    void storeRestored() override;
     Duration delayUntilListRead() override;
     Duration configurationWatchDuration() override;
     void digestReceived(const PeerDigest &digest) override;
--- a/src/gateway/registration.cpp
+++ b/src/gateway/registration.cpp
@@ -40,6 +40,12 @@
     createLease();
 }
 
+void Registration::registerAgain(Duration delay)
+{
+    m_call.cancel();
+    schedule(delay, &Registration::createLease);
+}
+
 void Registration::schedule(Duration wait, void (Registration::*step)())
 {
     m_loop.cancel(m_timer);
--- a/src/gateway/registration.h
+++ b/src/gateway/registration.h
@@ -31,6 +31,8 @@
     ~Registration();
 
     void start();
+    /** Registers under a new lease after `delay`. */
+    void registerAgain(Duration delay);
     std::uint64_t calls() const
     {
         return m_calls;
--- a/src/gateway/storelink.cpp
+++ b/src/gateway/storelink.cpp
@@ -78,9 +78,11 @@
 
 void StoreLink::noteEra(const Channel &channel, const StoreResponse &response)
 {
-    if (response.status == 0 || response.era == m_storeRevision.era) {
+    // A lower era is that of a response that was sent before the restoration.
+    if (response.status == 0 || response.era <= m_storeRevision.era) {
         return;
     }
+    const bool isRestored = m_storeRevision.era != 0;
     LogEvent("store_era_changed", LogEvent::Level::Warning)
         .field("duty", channel.name)
         .field("era", static_cast<long long>(response.era))
@@ -88,6 +90,9 @@
         .field("store_revision", static_cast<long long>(m_storeRevision.revision))
         .field("configuration_revision", static_cast<long long>(m_configurationOrigin.revision.revision));
     m_storeRevision = {response.era, 0};
+    if (isRestored) {
+        m_listener.storeRestored();
+    }
     if (&channel != &m_configuration) {
         recheckConfiguration("era_changed");
     }
--- a/src/gateway/storelink.h
+++ b/src/gateway/storelink.h
@@ -29,6 +29,8 @@
     virtual void configurationRead(RoutingConfigurationPtr configuration, const ConfigurationOrigin &origin) = 0;
     virtual void endpointsRead(const std::vector<EndpointRecord> &list, const StoreRevision &revision) = 0;
     virtual void endpointsReadFailed() = 0;
+    /** The store was restored from a copy, which may lack what this process has written. */
+    virtual void storeRestored() = 0;
     /** How long to wait before the next read of the list of endpoints. */
     virtual Duration delayUntilListRead() = 0;
     /** How long the store may hold a watch of the configuration. */
