A reload with another store takes its configuration and endpoints

Registration kept the old address, so other gateways didn't find this one.

Now a new address makes the store's next answers newer whatever their revisions, the versions decide as after a restoration, and the gateway registers in the new store.

reload_with_another_store_takes_its_configuration_and_endpoints failed before (404 for 2 s).

--- a/src/gateway/configurationselection.cpp
+++ b/src/gateway/configurationselection.cpp
@@ -52,6 +52,7 @@
 {
     m_latest.reset();
     m_era.reset();
+    m_deferred.reset();
 }
 
 }
--- a/src/gateway/endpointdirectory.h
+++ b/src/gateway/endpointdirectory.h
@@ -82,6 +82,11 @@
      * list of another era is newer. */
     std::vector<EndpointChange> apply(
         const std::vector<EndpointRecord> &list, const StoreRevision &revision, TimePoint now);
+    /** Makes the next list newer than the current one, whatever its revision: another store is used. */
+    void forgetRevision()
+    {
+        m_revision = {};
+    }
     /** Records a failed read of the list: the endpoints may be unable to reach the platform, too. */
     void noteReadFailed();
 
--- a/src/gateway/endpointlist.h
+++ b/src/gateway/endpointlist.h
@@ -50,6 +50,12 @@
     /** The changes of the last CHANGE_RETENTION, to be sent to the other gateways. */
     EndpointListUpdate recentChanges(TimePoint now) const;
 
+    /** Makes the next list newer than the current one, whatever its revision: another store is used. */
+    void forgetRevision()
+    {
+        m_revision = {};
+    }
+
     std::vector<EndpointRecord> records() const;
     const StoreRevision &revision() const
     {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -144,7 +144,10 @@
 void Gateway::reload(const GatewaySettings &settings)
 {
     if (!(settings.store == m_settings.store)) {
+        m_list.forgetRevision();
+        m_endpoints.forgetRevision();
         m_store.setAddress(settings.store);
+        m_registration.setStore(settings.store);
     }
     m_settings.store = settings.store;
     m_settings.stopGrace = settings.stopGrace;
--- a/src/gateway/registration.cpp
+++ b/src/gateway/registration.cpp
@@ -23,7 +23,7 @@
     Address ownAddress, std::function<void(const Address &)> peerFound)
     : m_loop(loop)
     , m_codec(codec)
-    , m_call(loop, codec, store)
+    , m_call(std::make_unique<StoreCall>(loop, codec, store))
     , m_name(std::move(name))
     , m_ownAddress(std::move(ownAddress))
     , m_peerFound(std::move(peerFound))
@@ -42,10 +42,16 @@
 
 void Registration::registerAgain(Duration delay)
 {
-    m_call.cancel();
+    m_call->cancel();
     schedule(delay, &Registration::createLease);
 }
 
+void Registration::setStore(const Address &store)
+{
+    m_call = std::make_unique<StoreCall>(m_loop, m_codec, store);
+    createLease();
+}
+
 void Registration::schedule(Duration wait, void (Registration::*step)())
 {
     m_loop.cancel(m_timer);
@@ -56,7 +62,7 @@
     const StoreRequest &request, std::function<void(const StoreResponse &response)> responseHandler)
 {
     ++m_calls;
-    m_call.begin(request, CALL_TIMEOUT, std::move(responseHandler));
+    m_call->begin(request, CALL_TIMEOUT, std::move(responseHandler));
 }
 
 void Registration::retry()
@@ -66,6 +72,7 @@
 
 void Registration::createLease()
 {
+    m_loop.cancel(m_timer);
     begin(m_codec.createLeaseRequest(LEASE_DURATION), [this](const StoreResponse &response) {
         if (response.status != OK) {
             retry();
--- a/src/gateway/registration.h
+++ b/src/gateway/registration.h
@@ -9,6 +9,7 @@
 #include "transport/eventloop.h"
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,8 @@
     void start();
     /** Registers under a new lease after `delay`. */
     void registerAgain(Duration delay);
+    /** Registers in another store. */
+    void setStore(const Address &store);
     std::uint64_t calls() const
     {
         return m_calls;
@@ -49,7 +52,7 @@
 
     EventLoop &m_loop;
     const StoreCodec &m_codec;
-    StoreCall m_call;
+    std::unique_ptr<StoreCall> m_call;
     std::string m_name;
     Address m_ownAddress;
     std::function<void(const Address &)> m_peerFound;
--- a/src/gateway/storelink.cpp
+++ b/src/gateway/storelink.cpp
@@ -35,7 +35,7 @@
     , m_address(address)
     , m_listener(listener)
 {
-    setAddress(address);
+    connect();
 }
 
 StoreLink::~StoreLink()
@@ -45,18 +45,26 @@
     m_loop.cancel(m_deferredTimer);
 }
 
+void StoreLink::connect()
+{
+    m_configuration.call = std::make_unique<StoreCall>(m_loop, m_codec, m_address);
+    m_endpoints.call = std::make_unique<StoreCall>(m_loop, m_codec, m_address);
+}
+
 void StoreLink::setAddress(const Address &address)
 {
     m_address = address;
-    const bool running = m_configuration.call != nullptr;
     m_loop.cancel(m_configuration.timer);
     m_loop.cancel(m_endpoints.timer);
+    m_loop.cancel(m_deferredTimer);
+    m_isWatching = false;
     m_listItems.clear();
-    m_configuration.call = std::make_unique<StoreCall>(m_loop, m_codec, m_address);
-    m_endpoints.call = std::make_unique<StoreCall>(m_loop, m_codec, m_address);
-    if (running) {
-        start();
-    }
+    m_decodedEndpoints.clear();
+    m_selection.forgetRevisions();
+    m_storeRevision = {};
+    m_watchedRevision = {};
+    connect();
+    start();
 }
 
 void StoreLink::start()
--- a/src/gateway/storelink.h
+++ b/src/gateway/storelink.h
@@ -44,6 +44,7 @@
     ~StoreLink();
 
     void start();
+    /** Uses another store. Its revisions have nothing to do with those of the store before. */
     void setAddress(const Address &address);
     /** Handles the latest revision of the configuration that another gateway has read: reads the configuration if that
      * revision is new. */
@@ -94,6 +95,7 @@
         bool isAvailable = true;
     };
 
+    void connect();
     void readConfiguration();
     void handleConfigurationRead(const StoreResponse &response);
     void watchConfiguration();
--- a/test/error/processes_store.py
+++ b/test/error/processes_store.py
@@ -1,5 +1,6 @@
 #!/usr/bin/env python3
 """Tests of gateway processes whose copy of the configuration may be outdated, because of what the store does."""
+import signal
 import sys
 import time
 import traceback
@@ -167,6 +168,28 @@
         eventually(lambda: sum(key.startswith("cyclamenturn/") for key in fleet.store.items) == 2, "registrations", 5)
 
 
+def reload_with_another_store_takes_its_configuration_and_endpoints():
+    with Fleet() as fleet:
+        fleet.heartbeats(LOST_WRITES)
+        fleet.change(5, OLD, "key-2")
+        fleet.expect_in_force(("/plain/x", "key-2"), ("/plain/x", "key-1"))
+        other = Store()
+        fleet.endpoint = Endpoint(answer_ok)
+        other.put("servers/desk-7", fleet.endpoint.registration("desk"))
+        other.put("op/config", configuration(9, NEW, keys=("key-3",)))
+        gateway, = fleet.gateways
+        with open(gateway.settings_file, encoding="utf-8") as settings:
+            text = settings.read().replace(str(fleet.store.server.port), str(other.server.port))
+        with open(gateway.settings_file, "w", encoding="utf-8") as settings:
+            settings.write(text)
+        gateway.process.send_signal(signal.SIGHUP)
+        fleet.expect_in_force(("/added/x", "key-3"), ("/plain/x", "key-2"))
+        eventually(lambda: fleet.serves("/added/x", "key-3") and fleet.endpoint.requests,
+                   "a request at the other store's endpoint")
+        eventually(lambda: "cyclamenturn/gateways/g0" in other.items, "the registration")
+        other.server.close()
+
+
 def main():
     tests = [item for name, item in globals().items()
              if callable(item) and getattr(item, "__module__", "") == "__main__"
