A status without an endpoint's seal isn't passed to a caller

A 3xx or 4xx that no endpoint vouches for, such as the error page of another process at an address that was used before, was forwarded as it came: to the caller it was a refusal by the system, never to be repeated. An unsealed 503 or 429 was a promise that the request hadn't run, though nobody had said so. Only successes were checked for the seal.

Now any response without the seal counts as malformed, unless it states that the request wasn't run: it is sent elsewhere where that is allowed, or ends with 502.

--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -282,7 +282,10 @@
     }
     const std::string *type = head.fields.find("Content-Type");
     m_isEventStream = isSuccess(head.status) && type != nullptr && type->rfind("text/event-stream", 0) == 0;
-    if (isSuccess(head.status) && !m_responseTraits.hasServerSeal) {
+    // Only an endpoint's own response has the seal, unless it states that it didn't run the request. Any other status,
+    // if it were forwarded, would look like this gateway's: a 4xx like a refusal, a 503 like a promise that nothing
+    // ran.
+    if (!m_responseTraits.hasServerSeal && !m_responseTraits.isNotExecuted) {
         attemptFailed(AttemptOutcome::ResponseLost, EndpointResult::FailureResponse, GatewayRefusal::EndpointMalformed);
     }
 }
--- a/src/gateway/requesttraits.h
+++ b/src/gateway/requesttraits.h
@@ -56,8 +56,8 @@
 {
     /** The attempt id that the endpoint repeats from the request; empty when there is none. */
     std::string attemptId;
-    /** Whether the response carries the platform's seal, which marks responses of its endpoints. A successful response
-     * without it counts as malformed. */
+    /** Whether the response carries the platform's seal, which marks responses of its endpoints. A response without it
+     * counts as malformed, unless it states that the request wasn't run. */
     bool hasServerSeal = false;
     /** Whether the endpoint states that it didn't run the request. */
     bool isNotExecuted = false;
