--- a/test/correctness/platform_codecs.cpp
+++ b/test/correctness/platform_codecs.cpp
@@ -138,6 +138,8 @@
     CHECK(configuration->findTeam("k2")->priority == 1);
     CHECK(configuration->findService("s")->engine->slots == 64);
     CHECK_THROWS_AS(STORE_CODEC.decodeConfiguration("{\"version\":7}"), MessageFormatError);
+    CHECK_THROWS_AS(STORE_CODEC.decodeConfiguration(replaced(document, "\"k1\"", "{}")), MessageFormatError);
+    CHECK_THROWS_AS(STORE_CODEC.decodeConfiguration(replaced(document, "\"/h\"", "{}")), MessageFormatError);
 }
 
 TEST_CASE("store requests are encoded and store responses are decoded")
