A request over a limit is answered with 503 while the operator's limit isn't known

A gateway without a configuration rejects requests by the default limits, and one whose configuration is in doubt by limits that may have been raised: 413 and 431 turned callers away for good. Both are now 503 with Retry-After in these cases.

--- a/src/gateway/admitrequest.cpp
+++ b/src/gateway/admitrequest.cpp
@@ -6,10 +6,28 @@
 #include <Poco/String.h>
 
 #include <algorithm>
+#include <cstdio>
 
 namespace Cyclamenturn
 {
 
+namespace
+{
+
+constexpr int BODY_TOO_LARGE = 413;
+constexpr int TOO_MANY_REQUESTS = 429;
+constexpr int HEADER_TOO_LARGE = 431;
+constexpr int UNAVAILABLE = 503;
+
+std::string formatSeconds(Duration span)
+{
+    char text[32];
+    std::snprintf(text, sizeof(text), "%.3f", static_cast<double>(span.count()) / 1e6);
+    return text;
+}
+
+}
+
 const char *toString(GatewayRefusal refusal)
 {
     switch (refusal) {
@@ -81,6 +99,21 @@
     return 503;
 }
 
+HttpResponseHead refusalHead(int status, Duration retryAfter)
+{
+    HttpResponseHead out{status, "", {}};
+    if (status == UNAVAILABLE || status == TOO_MANY_REQUESTS) {
+        out.fields.add("Retry-After", formatSeconds(retryAfter));
+    }
+    return out;
+}
+
+int limitStatusInDoubt(int status, bool hasConfiguration, ConfigurationDoubt doubt)
+{
+    const bool isLimit = status == BODY_TOO_LARGE || status == HEADER_TOO_LARGE;
+    return isLimit && (!hasConfiguration || doubt != ConfigurationDoubt::None) ? UNAVAILABLE : status;
+}
+
 GatewayRefusal refusalInDoubt(GatewayRefusal refusal, ConfigurationDoubt doubt)
 {
     const bool isAboutContent = refusal == GatewayRefusal::UnknownRoute || refusal == GatewayRefusal::UnknownKey;
--- a/src/gateway/admitrequest.h
+++ b/src/gateway/admitrequest.h
@@ -52,6 +52,12 @@
 /** The HTTP status of the response to the caller. 503 guarantees that the request didn't run. */
 int statusOf(GatewayRefusal refusal);
 
+/** Retry-After of refusals that aren't due to load: long enough for a pending change of configuration or endpoints to
+ * arrive. */
+constexpr Duration DEFAULT_RETRY_AFTER = milliseconds(300);
+/** The head of a refusal. `retryAfter` is stated only with a status that lets the caller try again. */
+HttpResponseHead refusalHead(int status, Duration retryAfter);
+
 struct AdmittedRequest
 {
     /** Owned by the configuration. */
@@ -68,6 +74,9 @@
 AdmissionResult admitRequest(
     const RoutingConfiguration *configuration, const HttpRequestHead &head, const RequestTraits &traits);
 
+/** Returns the status to answer with to a request that exceeds a limit, when `status` is that of the limit in force.
+ * While the configuration is unknown or in doubt, the operator's limit may be higher. */
+int limitStatusInDoubt(int status, bool hasConfiguration, ConfigurationDoubt doubt);
 /** Returns the refusal to answer with: while the configuration is in doubt, what it lacks isn't known to be missing. */
 GatewayRefusal refusalInDoubt(GatewayRefusal refusal, ConfigurationDoubt doubt);
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -61,7 +61,7 @@
           [this](const Address &address) { m_peers.addContact(address, m_loop.now()); })
     , m_incarnation(static_cast<std::uint64_t>(currentTime().time_since_epoch().count()))
 {
-    m_callerServer.setRejectionHandler([this](const RejectedRequest &request) { handleRejection(request); });
+    m_callerServer.setRejectionHandler([this](const RejectedRequest &request) { return handleRejection(request); });
 }
 
 Gateway::~Gateway() = default;
@@ -243,18 +243,23 @@
     }
 }
 
-void Gateway::handleRejection(const RejectedRequest &request)
+HttpResponseHead Gateway::handleRejection(const RejectedRequest &request)
 {
-    m_metrics.count("cyclamenturn_requests_rejected", {{"status", std::to_string(request.status)}});
+    const ConfigurationDoubt doubt = configurationDoubt();
+    const int status = limitStatusInDoubt(request.status, m_configuration != nullptr, doubt);
+    m_metrics.count("cyclamenturn_requests_rejected", {{"status", std::to_string(status)}});
     if (m_logBudget.allows(true, m_loop.now())) {
         LogEvent("request_rejected")
             .field("request", m_messages.decodeRequest(request.head).attemptId)
-            .field("status", request.status)
+            .field("status", status)
             .field("reason", request.reason)
+            .field("doubt", toString(doubt))
+            .field("configuration", m_configuration ? static_cast<long long>(m_configuration->version()) : 0)
             .field("method", request.head.method)
             .field("host", requestedHost(request.head))
             .field("path", loggedPath(request.head));
     }
+    return refusalHead(status, DEFAULT_RETRY_AFTER);
 }
 
 void Gateway::handleReadiness(const HttpServerConnectionPtr &connection)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -145,7 +145,7 @@
     void endpointListUpdateReceived(const EndpointListUpdate &update) override;
 
     void handleCaller(const HttpServerConnectionPtr &connection, ReceivedRequest request);
-    void handleRejection(const RejectedRequest &request);
+    HttpResponseHead handleRejection(const RejectedRequest &request);
     void handleReadiness(const HttpServerConnectionPtr &connection);
     void handleMetrics(const HttpServerConnectionPtr &connection);
     PeerDigest makeDigest();
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -8,7 +8,6 @@
 #include "rendezvoushash.h"
 
 #include <algorithm>
-#include <cstdio>
 
 namespace Cyclamenturn
 {
@@ -18,15 +17,11 @@
 
 constexpr int FIRST_REDIRECTION = 300;
 constexpr int FIRST_SERVER_ERROR = 500;
-constexpr int TOO_MANY_REQUESTS = 429;
 constexpr int UNAVAILABLE = 503;
 /** Assumed caller timeout for requests that don't state one. */
 constexpr Duration DEFAULT_CALLER_TIMEOUT = milliseconds(30000);
 /** How long an idle connection is kept when the endpoint doesn't state a keep-alive time. */
 constexpr Duration DEFAULT_IDLE_TIMEOUT = milliseconds(2500);
-/** Retry-After of refusals that aren't due to load: long enough for a pending change of configuration or endpoints to
- * arrive. */
-constexpr Duration DEFAULT_RETRY_AFTER = milliseconds(300);
 /** The endpoint of a stream counts as lost when it has sent nothing for this many times the route's event gap, or the
  * route's objective before the first event. */
 constexpr int EVENT_GAPS_UNTIL_LOST = 3;
@@ -40,13 +35,6 @@
     return status >= 200 && status < 300;
 }
 
-std::string formatSeconds(Duration span)
-{
-    char text[32];
-    std::snprintf(text, sizeof(text), "%.3f", static_cast<double>(span.count()) / 1e6);
-    return text;
-}
-
 }
 
 RequestFlow::RequestFlow(Gateway &gateway, HttpServerConnectionPtr caller, ReceivedRequest request)
@@ -560,11 +548,8 @@
 
 void RequestFlow::refuse(GatewayRefusal refusal, Duration retryAfter)
 {
-    HttpResponseHead head{statusOf(refusal), "", {}};
+    HttpResponseHead head = refusalHead(statusOf(refusal), retryAfter);
     head.fields.add("Content-Type", "text/plain");
-    if (head.status == UNAVAILABLE || head.status == TOO_MANY_REQUESTS) {
-        head.fields.add("Retry-After", formatSeconds(retryAfter));
-    }
     m_gateway.metrics().count("cyclamenturn_refusals", {{"reason", toString(refusal)}});
     respond(std::move(head), std::string(toString(refusal)) + "\n", toString(refusal));
 }
--- a/src/transport/httpserver.h
+++ b/src/transport/httpserver.h
@@ -40,7 +40,8 @@
 public:
     /** The handler may move out of the request. */
     using RequestHandler = std::function<void(const HttpServerConnectionPtr &, ReceivedRequest &)>;
-    using RejectionHandler = std::function<void(const RejectedRequest &)>;
+    /** Returns the head of the response. */
+    using RejectionHandler = std::function<HttpResponseHead(const RejectedRequest &)>;
 
     HttpServer(EventLoop &loop, const Address &address, RequestHandler handler);
     ~HttpServer() override;
@@ -89,11 +90,9 @@
     {
         m_handler(connection, request);
     }
-    void reportRejection(const RejectedRequest &request)
+    HttpResponseHead rejectionHead(const RejectedRequest &request)
     {
-        if (m_rejectionHandler) {
-            m_rejectionHandler(request);
-        }
+        return m_rejectionHandler ? m_rejectionHandler(request) : HttpResponseHead{request.status, "", {}};
     }
     void remove(HttpServerConnection *connection);
 
--- a/src/transport/httpserverconnection.cpp
+++ b/src/transport/httpserverconnection.cpp
@@ -117,8 +117,8 @@
 {
     m_busy = true;
     m_closeAfterResponse = true;
-    m_server.reportRejection({status, reason, m_parser ? m_parser->request() : HttpRequestHead()});
-    HttpResponseHead head{status, "", {}};
+    HttpResponseHead head
+        = m_server.rejectionHead({status, reason, m_parser ? m_parser->request() : HttpRequestHead()});
     head.fields.add("Content-Type", "text/plain");
     sendResponse(std::move(head), std::string(reason) + "\n");
 }
--- a/test/correctness/gateway_decisions.cpp
+++ b/test/correctness/gateway_decisions.cpp
@@ -112,6 +112,13 @@
         CHECK(statusOf(refusalInDoubt(refusal, ConfigurationDoubt::Unconfirmed)) == 503);
     }
     CHECK(refusalInDoubt(GatewayRefusal::BadRequest, ConfigurationDoubt::Unconfirmed) == GatewayRefusal::BadRequest);
+
+    for (const int status : {413, 431}) {
+        CHECK(limitStatusInDoubt(status, true, ConfigurationDoubt::None) == status);
+        CHECK(limitStatusInDoubt(status, true, ConfigurationDoubt::NewerAtPeer) == 503);
+        CHECK(limitStatusInDoubt(status, false, ConfigurationDoubt::None) == 503);
+    }
+    CHECK(limitStatusInDoubt(400, false, ConfigurationDoubt::Unconfirmed) == 400);
 }
 
 TEST_CASE("the engine priority follows the request's priority, then the route's priority")
--- a/test/error/processes_store.py
+++ b/test/error/processes_store.py
@@ -1,6 +1,7 @@
 #!/usr/bin/env python3
 """Tests of gateway processes whose copy of the configuration may be outdated, because of what the store does."""
 import signal
+import socket
 import sys
 import time
 import traceback
@@ -130,6 +131,26 @@
         eventually(lambda: fleet.statuses("/plain/x", "key-2") == [401], "the confirmed configuration", APPLY_S)
 
 
+def large_request_is_rejected_with_503_while_its_limit_is_unknown():
+    def status(gateway, body_bytes):
+        """Sends the head of a request only, since the gateway answers without reading a body that is too large."""
+        with socket.create_connection(("127.0.0.1", gateway.callers_port)) as caller:
+            caller.sendall(b"POST /plain/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: 1\r\n"
+                           b"Content-Length: %d\r\n\r\n" % body_bytes)
+            return int(caller.recv(4096).split()[1])
+
+    with Fleet() as fleet:
+        assert status(fleet.gateways[0], 70000) == 413
+        fleet.store.is_down = True
+        fleet.store.server.close_connections()
+        time.sleep(STABLE_S)
+        assert status(fleet.gateways[0], 70000) == 503
+        fleet.gateways[0].stop()
+        fleet.gateways[0] = Gateway(BUILD, fleet.store)
+        eventually(lambda: fleet.gateways[0].log_lines("started"), "the start of the gateway")
+        assert status(fleet.gateways[0], 5000000) == 503
+
+
 def configuration_that_cannot_be_decoded_counts_as_outdated():
     with Fleet() as fleet:
         fleet.store.put("op/config", {"version": 5, "routes": "none"})
