A gateway that starts with an older configuration than its peers' doesn't serve by it

After a restoration of the store, a gateway that started before the operator had written again read the copy's version and served by it: keys that had been taken away worked again there, which callers could use until then. Digests showed it that its peers apply a newer version, which only changed its refusals.

Now a process that, since its start, has only had configurations older than those of its live peers isn't ready and answers 503, until it has caught up or the peers have taken the older version. A process that has once been as new as they are, and one without peers, serves on.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -115,6 +115,7 @@
     m_placement.split().setPeerDemand(m_peers.demand());
     m_store.handlePeerConfigurationRevision(digest.configurationRevision);
     m_store.handlePeerConfirmation(digest.configurationRevision, digest.configurationConfirmedAt);
+    noteCaughtUp();
     for (const auto &cleared : digest.clearedSuspects) {
         m_quarantine.merge(cleared, m_loop.now());
     }
@@ -136,6 +137,19 @@
     return doubtConfiguration(knowledge, m_settings.confirmationTimeout, m_loop.now());
 }
 
+bool Gateway::isCatchingUp() const
+{
+    return m_configuration && !m_hasCaughtUp
+        && m_peers.newestConfigurationVersion() > m_store.configurationSelection().version();
+}
+
+void Gateway::noteCaughtUp()
+{
+    if (m_configuration && m_peers.livePeerCount() > 0 && !isCatchingUp()) {
+        m_hasCaughtUp = true;
+    }
+}
+
 void Gateway::recheckConfiguration()
 {
     m_store.recheckConfiguration("refusal_in_doubt");
@@ -264,7 +278,8 @@
 
 void Gateway::handleReadiness(const HttpServerConnectionPtr &connection)
 {
-    connection->sendResponse({isReady() ? OK : UNAVAILABLE, "", {}}, isReady() ? "ready\n" : "not ready\n");
+    const bool isServing = isReady() && !isCatchingUp();
+    connection->sendResponse({isServing ? OK : UNAVAILABLE, "", {}}, isServing ? "ready\n" : "not ready\n");
 }
 
 void Gateway::handleMetrics(const HttpServerConnectionPtr &connection)
@@ -294,6 +309,7 @@
 {
     const bool wasReady = isReady();
     m_configuration = std::move(configuration);
+    noteCaughtUp();
     const CallerLimits &limits = m_configuration->limits();
     HttpServerLimits server;
     server.message = {limits.headerBytes, limits.bodyBytes};
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -74,6 +74,9 @@
         return m_store;
     }
     ConfigurationDoubt configurationDoubt() const;
+    /** Whether this process, since its start, has only had configurations older than those of its peers. It read them
+     * from a restored store, and must not run what has been forbidden since. */
+    bool isCatchingUp() const;
     /** Confirms the configuration with the store soon, because a request was refused while it is in doubt. */
     void recheckConfiguration();
     EndpointStatistics &statistics(const std::string &endpointId)
@@ -154,6 +157,7 @@
     void logChange(const char *event, const EndpointRecord &record) const;
     void housekeep();
     void continueStop();
+    void noteCaughtUp();
     bool isReady() const;
     void becomeReady();
     void resumeWaitingFlows();
@@ -177,6 +181,8 @@
     std::mt19937_64 m_random;
     std::unordered_map<RequestFlow *, std::shared_ptr<RequestFlow>> m_flows;
     TimePoint m_startedAt;
+    /** Whether the configuration has been as new as that of each peer; stays true. */
+    bool m_hasCaughtUp = false;
     /** Requests received before this process was ready. */
     std::vector<std::weak_ptr<RequestFlow>> m_waitingFlows;
     HttpServer m_callerServer;
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -72,6 +72,11 @@
 {
     const TimePoint now = m_gateway.loop().now();
     m_configuration = m_gateway.configuration();
+    if (m_gateway.isCatchingUp()) {
+        m_failedCheck = "catching_up";
+        refuse(GatewayRefusal::ConfigurationOutdated);
+        return;
+    }
     const AdmissionResult result = admitRequest(m_configuration.get(), m_request.head, m_traits);
     if (const auto *refusal = std::get_if<GatewayRefusal>(&result)) {
         refuseAdmission(*refusal);
--- a/test/error/processes_store.py
+++ b/test/error/processes_store.py
@@ -91,6 +91,25 @@
         fleet.expect_in_force(("/plain/x", "key-3"), ("/plain/x", "key-2"))
 
 
+def gateway_that_starts_with_the_older_version_of_a_restored_store_waits_for_the_newer_one():
+    with Fleet(gateways=3) as fleet:
+        copy = fleet.store.copy()
+        fleet.heartbeats(LOST_WRITES)
+        fleet.change(5, NEW, "key-2")
+        fleet.expect_in_force(("/added/x", "key-2"), ("/plain/x", "key-1"))
+        fleet.store.restore(copy)
+        started = fleet.gateways[0]
+        started.process.kill()
+        started.process.wait()
+        known_peers = len(started.log_lines("peer_found"))
+        started.start()
+        eventually(lambda: len(started.log_lines("peer_found")) == known_peers + 2, "contact with the other gateways")
+        assert fleet.statuses("/plain/x", "key-1")[0] == 503 and not started.is_ready()
+        fleet.change(5, NEW, "key-2")
+        fleet.expect_in_force(("/added/x", "key-2"), ("/plain/x", "key-1"))
+        assert started.is_ready()
+
+
 def older_version_that_stays_in_a_restored_store_comes_into_force():
     with Fleet() as fleet:
         copy = fleet.store.copy()
