Gateway: decode the configuration apart from applying it

An error while a new configuration is applied is no longer taken for one in the document, which would have counted as unreadable.

--- a/src/gateway/storelink.cpp
+++ b/src/gateway/storelink.cpp
@@ -228,30 +228,39 @@
     m_configurationConfirmedAt = m_loop.now();
 }
 
+RoutingConfigurationPtr StoreLink::decodeConfiguration(const StoreItem &item) const
+{
+    try {
+        return m_codec.decodeConfiguration(item.value);
+    } catch (const std::runtime_error &error) {
+        LogEvent("configuration_unreadable", LogEvent::Level::Error)
+            .field("revision", static_cast<long long>(item.revision))
+            .field("reason", error.what());
+        return nullptr;
+    }
+}
+
 void StoreLink::handleConfigurationItem(const StoreItem &item, const char *source)
 {
     const ConfigurationOrigin origin{{m_watchedRevision.era, item.revision}, source, m_loop.now()};
     if (!m_selection.isNew(origin.revision)) {
         return;
     }
-    try {
-        RoutingConfigurationPtr configuration = m_codec.decodeConfiguration(item.value);
-        switch (m_selection.offer(origin.revision, configuration->version(), m_loop.now())) {
-        case ConfigurationSelection::Decision::Apply:
-            applyConfiguration(std::move(configuration), origin);
-            break;
-        case ConfigurationSelection::Decision::Defer:
-            deferConfiguration(std::move(configuration), origin);
-            break;
-        case ConfigurationSelection::Decision::Ignore:
-            break;
-        }
-    } catch (const std::runtime_error &error) {
+    RoutingConfigurationPtr configuration = decodeConfiguration(item);
+    if (!configuration) {
         m_selection.noteUnreadable(origin.revision);
         m_loop.cancel(m_deferredTimer);
-        LogEvent("configuration_unreadable", LogEvent::Level::Error)
-            .field("revision", static_cast<long long>(item.revision))
-            .field("reason", error.what());
+        return;
+    }
+    switch (m_selection.offer(origin.revision, configuration->version(), m_loop.now())) {
+    case ConfigurationSelection::Decision::Apply:
+        applyConfiguration(std::move(configuration), origin);
+        break;
+    case ConfigurationSelection::Decision::Defer:
+        deferConfiguration(std::move(configuration), origin);
+        break;
+    case ConfigurationSelection::Decision::Ignore:
+        break;
     }
 }
 
--- a/src/gateway/storelink.h
+++ b/src/gateway/storelink.h
@@ -66,7 +66,7 @@
     {
         return m_configurationOrigin;
     }
-    /** The latest revision of the store that any of its responses has shown. */
+    /** The store at its last response about the configuration, or the start of a newer era. */
     const StoreRevision &storeRevision() const
     {
         return m_storeRevision;
@@ -100,6 +100,8 @@
     void handleConfigurationRead(const StoreResponse &response);
     void watchConfiguration();
     void handleConfigurationWatch(const StoreResponse &response);
+    /** Returns null, and logs the reason, if the document can't be decoded. */
+    RoutingConfigurationPtr decodeConfiguration(const StoreItem &item) const;
     void handleConfigurationItem(const StoreItem &item, const char *source);
     void applyConfiguration(RoutingConfigurationPtr configuration, const ConfigurationOrigin &origin);
     /** Keeps an older version of a restored store, and applies it later if nothing newer comes. */
