A store that answers late doesn't keep a configuration from a gateway

A read was given up after 800 ms, so a store that took longer for each answer was never read: a gateway that started then stayed without a configuration and answered 503, and one in service learned of changes by its watch only. Now a read that the store accepted and didn't answer in time doubles the next one's timeout, up to 3.2 s, and otherwise it is four times what the last read took. A store that can't be reached is still given up when the connection isn't established.

--- a/src/gateway/messagecodec.h
+++ b/src/gateway/messagecodec.h
@@ -52,6 +52,8 @@
 {
     /** 0 when no complete response was received in time. */
     int status = 0;
+    /** Whether the store accepted the call and didn't answer in time, so that it may be slow rather than away. */
+    bool isLate = false;
     /** StoreRevision::era. */
     std::uint64_t era = 0;
     std::string body;
--- a/src/gateway/storecall.cpp
+++ b/src/gateway/storecall.cpp
@@ -41,7 +41,7 @@
     }
     HttpRequestHead headWithHost = request.head;
     headWithHost.fields.add("Host", toString(m_address));
-    m_timeout = m_loop.callAfter(timeout, [this] { exchangeFailed(ExchangeFailure::ConnectionLost); });
+    m_timeout = m_loop.callAfter(timeout, [this] { timeOut(); });
     m_connection->send(headWithHost, request.body, this);
 }
 
@@ -85,6 +85,14 @@
     finish();
 }
 
+void StoreCall::timeOut()
+{
+    m_response = {};
+    m_response.isLate = m_connection->isConnected();
+    m_connection.reset();
+    finish();
+}
+
 void StoreCall::finish()
 {
     m_loop.cancel(m_timeout);
--- a/src/gateway/storecall.h
+++ b/src/gateway/storecall.h
@@ -32,6 +32,7 @@
     void bodyReceived(std::string piece) override;
     void exchangeDone(bool isReusable) override;
     void exchangeFailed(ExchangeFailure failure) override;
+    void timeOut();
     void finish();
 
     EventLoop &m_loop;
--- a/src/gateway/storelink.cpp
+++ b/src/gateway/storelink.cpp
@@ -21,8 +21,6 @@
 constexpr Duration WATCH_RESPONSE_MARGIN = milliseconds(500);
 /** Minimum time between two reads that don't wait for the watch; reads are priced. */
 constexpr Duration RECHECK_INTERVAL = milliseconds(400);
-/** The store usually responds within a few milliseconds; this is enough for a store that is a hundred times slower. */
-constexpr Duration READ_TIMEOUT = milliseconds(800);
 constexpr Duration RETRY_DELAY = milliseconds(250);
 /** Delay between reads while the store has no configuration yet, as in a fleet that has just been set up. */
 constexpr Duration MISSING_CONFIGURATION_RETRY_DELAY = milliseconds(300);
@@ -84,6 +82,22 @@
         });
 }
 
+void StoreLink::read(
+    Channel &channel, const StoreRequest &request, std::function<void(const StoreResponse &response)> responseHandler)
+{
+    begin(channel, request, channel.readTimeout,
+        [this, &channel, startedAt = m_loop.now(), responseHandler = std::move(responseHandler)](
+            const StoreResponse &response) {
+            if (response.isLate) {
+                channel.readTimeout = std::min(2 * channel.readTimeout, MAX_READ_TIMEOUT);
+            } else if (response.status != 0) {
+                const Duration usual = READ_TIMEOUT_FACTOR * (m_loop.now() - startedAt);
+                channel.readTimeout = std::clamp(usual, MIN_READ_TIMEOUT, MAX_READ_TIMEOUT);
+            }
+            responseHandler(response);
+        });
+}
+
 void StoreLink::noteEra(const Channel &channel, const StoreResponse &response)
 {
     // A lower era is that of a response that was sent before the restoration.
@@ -121,7 +135,7 @@
 
 void StoreLink::readConfiguration()
 {
-    begin(m_configuration, m_codec.readConfigurationRequest(), READ_TIMEOUT,
+    read(m_configuration, m_codec.readConfigurationRequest(),
         [this](const StoreResponse &response) { handleConfigurationRead(response); });
 }
 
@@ -291,7 +305,7 @@
 {
     m_isListReadInProgress = true;
     const std::string after = m_listItems.empty() ? std::string() : m_listItems.back().key;
-    begin(m_endpoints, m_codec.listEndpointsRequest(after), READ_TIMEOUT, [this](const StoreResponse &response) {
+    read(m_endpoints, m_codec.listEndpointsRequest(after), [this](const StoreResponse &response) {
         if (response.status != OK) {
             setAvailable(m_endpoints, false, "status " + std::to_string(response.status));
             if (response.status == 0) {
--- a/src/gateway/storelink.h
+++ b/src/gateway/storelink.h
@@ -93,8 +93,17 @@
         std::unique_ptr<StoreCall> call;
         EventLoop::Timer timer{};
         bool isAvailable = true;
+        /** How long a read may take. */
+        Duration readTimeout = MIN_READ_TIMEOUT;
     };
 
+    /** The store usually responds within a few milliseconds. */
+    static constexpr Duration MIN_READ_TIMEOUT = milliseconds(800);
+    /** For a store that is slower, in time to apply a configuration within the platform's bound for disturbances. */
+    static constexpr Duration MAX_READ_TIMEOUT = milliseconds(3200);
+    /** A read may take this many times as long as the last one. */
+    static constexpr int READ_TIMEOUT_FACTOR = 4;
+
     void connect();
     void readConfiguration();
     void handleConfigurationRead(const StoreResponse &response);
@@ -115,6 +124,9 @@
     void begin(Channel &channel, const StoreRequest &request, Duration timeout,
         std::function<void(const StoreResponse &response)> responseHandler);
     void noteEra(const Channel &channel, const StoreResponse &response);
+    /** Begins a read. Its timeout follows the store's response times. */
+    void read(Channel &channel, const StoreRequest &request,
+        std::function<void(const StoreResponse &response)> responseHandler);
     /** Records that the store has just answered a call about the configuration. */
     void noteConfigurationConfirmed();
     void setAvailable(Channel &channel, bool available, const std::string &reason);
--- a/test/error/processes_store.py
+++ b/test/error/processes_store.py
@@ -16,6 +16,8 @@
 DRAIN_S = 2.0
 OLD = [route("plain", "desk")]
 NEW = OLD + [route("added", "desk")]
+# How long a slow store takes for each answer; far more than its usual few milliseconds.
+LATE_S = 1.2
 # Writes that the copy of the store lacks, besides that of the configuration.
 LOST_WRITES = 40
 
@@ -137,6 +139,22 @@
         eventually(lambda: fleet.serves("/added/x", "key-3"), "the new configuration", APPLY_S)
 
 
+def store_that_answers_late_does_not_keep_a_configuration_from_a_gateway():
+    with Fleet() as fleet:
+        respond = fleet.store.respond
+
+        def respond_late(request):
+            time.sleep(LATE_S)
+            return respond(request)
+        fleet.store.respond = respond_late
+        fleet.change(5, NEW, "key-2")
+        eventually(lambda: fleet.serves("/added/x", "key-2"), "the configuration of a slow store", 10)
+        assert 200 not in fleet.statuses("/plain/x", "key-1")
+        fleet.gateways[0].stop()
+        fleet.gateways[0] = Gateway(BUILD, fleet.store)
+        eventually(fleet.gateways[0].is_ready, "readiness with a slow store")
+
+
 def unknown_key_and_route_are_refused_with_503_while_the_configuration_may_be_outdated():
     with Fleet() as fleet:
         assert fleet.statuses("/plain/x", "key-2") == [401] and fleet.statuses("/added/x", "key-1") == [404]
