--- a/src/gateway/storelink.cpp
+++ b/src/gateway/storelink.cpp
@@ -182,8 +182,8 @@
 {
     m_isWatching = false;
     if (response.status != OK) {
-        // The store no longer has the history since the watched revision. This is no outage: the read below returns the
-        // current configuration.
+        // The store has dropped the history since the watched revision, or was restored. This is no outage: the read
+        // below returns the current configuration.
         if (response.status != GONE) {
             setAvailable(m_configuration, false, "status " + std::to_string(response.status));
         }
