--- a/src/crashquarantine.cpp
+++ b/src/crashquarantine.cpp
@@ -199,6 +199,26 @@
     return static_cast<int>(reportsOf(fingerprint, now).size());
 }
 
+CrashTally CrashQuarantine::tally(std::uint64_t fingerprint, TimePoint now) const
+{
+    CrashTally out;
+    if (!isSuspect(fingerprint, now)) {
+        return out;
+    }
+    const int crashCount = crashes(fingerprint, now);
+    for (const auto &crash : m_suspects.at(fingerprint).crashes) {
+        if (counts(crash, now)) {
+            ++out.counted;
+            out.disputed += isDisputed({fingerprint, crash.endpoint, crash.at}, crashCount, now) ? 1 : 0;
+        } else if (now < crash.countsFrom) {
+            ++out.pending;
+        } else {
+            ++out.withdrawn;
+        }
+    }
+    return out;
+}
+
 std::vector<CrashReport> CrashQuarantine::reportsOf(std::uint64_t fingerprint, TimePoint now) const
 {
     std::vector<CrashReport> out;
--- a/src/crashquarantine.h
+++ b/src/crashquarantine.h
@@ -28,6 +28,19 @@
     std::size_t leftOut = 0;
 };
 
+/** The evidence against one fingerprint. */
+struct CrashTally
+{
+    /** Crashes that count. */
+    int counted = 0;
+    /** Crashes that a later response of the endpoint disproved. */
+    int withdrawn = 0;
+    /** Crashes of endpoints that have been silent for too short a time. */
+    int pending = 0;
+    /** Of `counted`, those that another suspect may have caused. */
+    int disputed = 0;
+};
+
 /** The known crashes by fingerprint, including those that other processes reported. */
 class CrashQuarantine
 {
@@ -96,6 +109,8 @@
     bool isSuspect(std::uint64_t fingerprint, TimePoint now) const;
     /** Returns the number of crashes that count for the fingerprint, 0 if it is not a suspect. */
     int crashes(std::uint64_t fingerprint, TimePoint now) const;
+    /** Returns how each known crash is judged, for the log. */
+    CrashTally tally(std::uint64_t fingerprint, TimePoint now) const;
     /** Returns the crashes that count for the fingerprint. */
     std::vector<CrashReport> reportsOf(std::uint64_t fingerprint, TimePoint now) const;
     /**
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -405,25 +405,37 @@
     }
 }
 
-void RequestFlow::logCrashEvidence(const char *evidence) const
+void RequestFlow::logCrashEvidence(const char *event, const char *evidence) const
 {
     const TimePoint now = m_gateway.loop().now();
-    LogEvent("crash_suspected")
+    const CrashTally tally = m_gateway.quarantine().tally(m_fingerprint, now);
+    LogEvent(event)
         .field("request", m_traits.attemptId)
         .field("fingerprint", std::to_string(m_fingerprint))
         .field("endpoint", m_endpoint.id)
         .field("evidence", evidence)
         .field("silent_ms", toMilliseconds(now - m_lastActivityAt))
-        .field("crashes", m_gateway.quarantine().crashes(m_fingerprint, now));
+        .field("crashes", tally.counted)
+        .field("withdrawn", tally.withdrawn)
+        .field("pending", tally.pending)
+        .field("disputed", tally.disputed);
+}
+
+void RequestFlow::noteIgnoredEvidence(const char *evidence) const
+{
+    m_gateway.metrics().count("cyclamenturn_crash_evidence_ignored", {{"evidence", evidence}});
+    logCrashEvidence("crash_evidence_ignored", evidence);
 }
 
 void RequestFlow::recordLostConnection()
 {
-    if (!m_gateway.quarantine().hasCrashedBefore(m_incarnation, m_sentAt)) {
-        m_gateway.quarantine().recordCrash(m_fingerprint, m_incarnation, m_gateway.loop().now());
-        m_gateway.metrics().count("cyclamenturn_crash_reports", {{"from", "own"}});
-        logCrashEvidence("connection_lost");
+    if (m_gateway.quarantine().hasCrashedBefore(m_incarnation, m_sentAt)) {
+        noteIgnoredEvidence("connection_lost");
+        return;
     }
+    m_gateway.quarantine().recordCrash(m_fingerprint, m_incarnation, m_gateway.loop().now());
+    m_gateway.metrics().count("cyclamenturn_crash_reports", {{"from", "own"}});
+    logCrashEvidence("crash_suspected", "connection_lost");
 }
 
 void RequestFlow::recordSilence()
@@ -434,11 +446,16 @@
     const TimePoint now = m_gateway.loop().now();
     const Duration enough = std::min(responseTimeout(), CrashQuarantine::SILENCE_TIME);
     const bool isSilent = m_connection->isConnected() && now - m_lastActivityAt >= enough;
-    if (isSilent && !m_gateway.quarantine().hasCrashedBefore(m_incarnation, m_sentAt)) {
-        m_gateway.quarantine().recordSilence(m_fingerprint, m_incarnation, m_lastActivityAt, now);
-        m_gateway.metrics().count("cyclamenturn_crash_reports", {{"from", "own"}});
-        logCrashEvidence("silence");
+    if (!isSilent) {
+        return;
+    }
+    if (m_gateway.quarantine().hasCrashedBefore(m_incarnation, m_sentAt)) {
+        noteIgnoredEvidence("silence");
+        return;
     }
+    m_gateway.quarantine().recordSilence(m_fingerprint, m_incarnation, m_lastActivityAt, now);
+    m_gateway.metrics().count("cyclamenturn_crash_reports", {{"from", "own"}});
+    logCrashEvidence("crash_suspected", "silence");
 }
 
 void RequestFlow::endAttempt(bool isReusable)
--- a/src/gateway/requestflow.h
+++ b/src/gateway/requestflow.h
@@ -55,9 +55,11 @@
     void finishStream();
     void finishPlainResponse();
 
-    /** Logs that the attempt's connection was lost or stayed silent, as evidence that the request may have crashed the
-     * endpoint. */
-    void logCrashEvidence(const char *evidence) const;
+    /** Logs `event` about an attempt whose connection was lost or stayed silent, which is evidence that the request may
+     * have crashed the endpoint. */
+    void logCrashEvidence(const char *event, const char *evidence) const;
+    /** Logs and counts evidence that isn't held against the request, since its endpoint had crashed before. */
+    void noteIgnoredEvidence(const char *evidence) const;
     /** Records the attempt as a possible crash, unless its endpoint had crashed before it was sent. */
     void recordLostConnection();
     /** Records the attempt in progress, if any, as a possible crash when it is given up without a recent byte from its
