A crash counts at an endpoint where a slow request was given up before

Callers and endpoints saw: a request that crashes endpoints was sent on after three had ended under it. Cause: the silence of any request, also of one that merely runs longer than its route's timeout, made its endpoint count as crashed, and evidence of later requests there was dropped until the gateway had a response of that endpoint itself. Reports of such silences reach all gateways, responses reached none, and at 12 gateways each waits seconds for one of its own.

A lost connection now counts unless another one was lost there within 500 ms before; silence counts unless a connection was lost there or two other requests were silent. Gateways exchange responses of suspected endpoints. The silence of a run that was given up is no longer withdrawn by a response to a request sent within 500 ms of its start, since the run may still end the endpoint; the test of that checks the later bound.

--- a/src/crashquarantine.cpp
+++ b/src/crashquarantine.cpp
@@ -4,6 +4,7 @@
 #include "crashquarantine.h"
 
 #include <algorithm>
+#include <map>
 
 namespace Cyclamenturn
 {
@@ -30,6 +31,7 @@
 void CrashQuarantine::recordCrash(std::uint64_t fingerprint, const std::string &endpoint, TimePoint now)
 {
     add(fingerprint, {endpoint, now, now, true}, now);
+    m_liveness[endpoint].lostAt = now;
 }
 
 void CrashQuarantine::recordSilence(
@@ -38,36 +40,50 @@
     add(fingerprint, {endpoint, now, std::max(now, silentSince + SILENCE_TIME), true}, now);
 }
 
-void CrashQuarantine::Liveness::noteCrash(const Crash &crash)
-{
-    if (crash.at <= respondedAt) {
-        return;
-    }
-    const bool isFirst = crashedAt <= respondedAt;
-    crashedAt = isFirst ? crash.at : std::min(crashedAt, crash.at);
-    crashCountsFrom = isFirst ? crash.countsFrom : std::min(crashCountsFrom, crash.countsFrom);
-}
-
 void CrashQuarantine::noteResponse(const std::string &endpoint, TimePoint sentAt)
 {
     Liveness &liveness = m_liveness[endpoint];
     liveness.respondedAt = std::max(liveness.respondedAt, sentAt);
+    liveness.respondedToUsAt = std::max(liveness.respondedToUsAt, sentAt);
+}
+
+void CrashQuarantine::merge(const EndpointSighting &sighting)
+{
+    Liveness &liveness = m_liveness[sighting.endpoint];
+    liveness.respondedAt = std::max(liveness.respondedAt, sighting.sentAt - SIGHTING_MARGIN);
 }
 
 void CrashQuarantine::noteEndpointEnded(const std::string &endpoint, TimePoint now)
 {
     Liveness &liveness = m_liveness[endpoint];
     liveness.respondedAt = std::min(liveness.respondedAt, now);
-    liveness.crashedAt = now;
-    liveness.crashCountsFrom = now;
+    liveness.lostAt = now;
     liveness.hasEnded = true;
 }
 
-bool CrashQuarantine::hasCrashedBefore(const std::string &endpoint, TimePoint sentAt) const
+bool CrashQuarantine::hasEndedBefore(const std::string &endpoint, TimePoint sentAt) const
 {
     const auto found = m_liveness.find(endpoint);
-    return found != m_liveness.end() && found->second.crashedAt > found->second.respondedAt
-        && found->second.crashCountsFrom < sentAt;
+    return found != m_liveness.end() && found->second.lostAt > found->second.respondedAt
+        && found->second.lostAt < sentAt && sentAt - found->second.lostAt < END_SPREAD;
+}
+
+bool CrashQuarantine::wasSilentBefore(
+    const std::string &endpoint, TimePoint sentAt, std::uint64_t fingerprint) const
+{
+    const auto found = m_liveness.find(endpoint);
+    if (found != m_liveness.end() && found->second.lostAt > found->second.respondedAt
+        && found->second.lostAt < sentAt) {
+        return true;
+    }
+    const auto silentRequests = std::count_if(m_suspects.begin(), m_suspects.end(), [&](const auto &item) {
+        const auto &crashes = item.second.crashes;
+        return item.first != fingerprint
+            && std::any_of(crashes.begin(), crashes.end(), [&](const Crash &crash) {
+                   return crash.endpoint == endpoint && crash.countsFrom < sentAt && !isWithdrawn(crash);
+               });
+    });
+    return silentRequests >= MIN_SILENT_REQUESTS;
 }
 
 void CrashQuarantine::clearSuspect(std::uint64_t fingerprint, TimePoint now)
@@ -124,7 +140,6 @@
     if (isCleared(fingerprint, crash)) {
         return;
     }
-    m_liveness[crash.endpoint].noteCrash(crash);
     if (m_suspects.size() >= MAX_SUSPECTS) {
         expire(now);
     }
@@ -151,11 +166,14 @@
 }
 
 bool CrashQuarantine::counts(const Crash &crash, TimePoint now) const
+{
+    return now >= crash.countsFrom && !isWithdrawn(crash);
+}
+
+bool CrashQuarantine::isWithdrawn(const Crash &crash) const
 {
     const auto found = m_liveness.find(crash.endpoint);
-    const bool hasRespondedSince
-        = found != m_liveness.end() && !found->second.hasEnded && found->second.respondedAt > crash.at;
-    return now >= crash.countsFrom && !hasRespondedSince;
+    return found != m_liveness.end() && !found->second.hasEnded && found->second.respondedAt > crash.countsFrom;
 }
 
 bool CrashQuarantine::isSameCrash(const std::string &endpoint, TimePoint at, const Crash &crash) const
@@ -225,7 +243,7 @@
     if (isSuspect(fingerprint, now)) {
         for (const auto &crash : m_suspects.at(fingerprint).crashes) {
             if (counts(crash, now)) {
-                out.push_back({fingerprint, crash.endpoint, crash.at});
+                out.push_back({fingerprint, crash.endpoint, crash.countsFrom});
             }
         }
     }
@@ -247,7 +265,7 @@
                 continue;
             }
             auto &group = isRepeated ? (isFresh ? freshRepeated : olderRepeated) : (isFresh ? freshOwn : olderOwn);
-            group.push_back({fingerprint, crash.endpoint, crash.at});
+            group.push_back({fingerprint, crash.endpoint, crash.countsFrom});
         }
     }
     CrashReportSelection out;
@@ -262,6 +280,26 @@
     return out;
 }
 
+std::vector<EndpointSighting> CrashQuarantine::sightings(TimePoint now, std::size_t maxCount, double draw) const
+{
+    std::map<std::string, TimePoint> seen;
+    for (const auto &[fingerprint, suspect] : m_suspects) {
+        for (const auto &crash : suspect.crashes) {
+            const auto found = m_liveness.find(crash.endpoint);
+            const bool isRecent = now < crash.countsFrom + OWN_REPORT_TIME;
+            if (isRecent && found != m_liveness.end() && found->second.respondedToUsAt > crash.countsFrom) {
+                seen[crash.endpoint] = found->second.respondedToUsAt;
+            }
+        }
+    }
+    std::vector<EndpointSighting> out;
+    for (const auto &[endpoint, sentAt] : seen) {
+        out.push_back({endpoint, sentAt});
+    }
+    resizeByLot(out, maxCount, draw);
+    return out;
+}
+
 std::vector<ClearedSuspect> CrashQuarantine::clearedSuspects(TimePoint now, std::size_t maxCount, double draw) const
 {
     std::vector<ClearedSuspect> out;
@@ -287,7 +325,7 @@
         it = it->second.at + QUARANTINE_TIME > now ? std::next(it) : m_cleared.erase(it);
     }
     for (auto it = m_liveness.begin(); it != m_liveness.end();) {
-        const TimePoint last = std::max(it->second.respondedAt, it->second.crashedAt);
+        const TimePoint last = std::max(it->second.respondedAt, it->second.lostAt);
         it = last + QUARANTINE_TIME > now ? std::next(it) : m_liveness.erase(it);
     }
 }
--- a/src/crashquarantine.h
+++ b/src/crashquarantine.h
@@ -10,6 +10,7 @@
 
 #include "clearedsuspect.h"
 #include "crashreport.h"
+#include "endpointsighting.h"
 #include "timepoint.h"
 
 #include <cstdint>
@@ -60,6 +61,15 @@
     static constexpr Duration SILENCE_TIME = milliseconds(500);
     /** How long a process reports a crash that it recorded, even if the request has no other crash. */
     static constexpr Duration OWN_REPORT_TIME = milliseconds(10000);
+    /** The resets that follow from one end of an endpoint are all received within this time. */
+    static constexpr Duration END_SPREAD = milliseconds(500);
+    /** This many requests without a response show that an endpoint was silent, and not only slow with one of them. */
+    static constexpr int MIN_SILENT_REQUESTS = 2;
+    /**
+     * Times received from other processes are too late by the time that the message took, and so may put a response
+     * after a crash that it came before.
+     */
+    static constexpr Duration SIGHTING_MARGIN = milliseconds(500);
     /** More recent crashes are reported before others, since few processes know them yet. */
     static constexpr Duration FRESH_REPORT_TIME = milliseconds(1500);
 
@@ -85,7 +95,7 @@
     void recordSilence(std::uint64_t fingerprint, const std::string &endpoint, TimePoint silentSince, TimePoint now);
     /**
      * Records a response of `endpoint` to a request sent at `sentAt`: it has not crashed before that time, so earlier
-     * crashes don't count.
+     * crashes don't count. A run that was given up may still crash the endpoint until its silence counts.
      */
     void noteResponse(const std::string &endpoint, TimePoint sentAt);
     /**
@@ -102,9 +112,16 @@
     void merge(const CrashReport &report, TimePoint now);
     /** Applies a clearance by another process. */
     void merge(const ClearedSuspect &cleared, TimePoint now);
+    /** Applies a response that another process received. */
+    void merge(const EndpointSighting &sighting);
 
-    /** Whether a crash of `endpoint` before `sentAt` is known, which a request sent then can't have caused. */
-    bool hasCrashedBefore(const std::string &endpoint, TimePoint sentAt) const;
+    /** Whether the connection of a request sent at `sentAt` was lost by an end of `endpoint` shortly before. */
+    bool hasEndedBefore(const std::string &endpoint, TimePoint sentAt) const;
+    /**
+     * Whether `endpoint` had ended or fallen silent before `sentAt`, so that the silence of a request sent then says
+     * nothing about it. One other silent request doesn't show this: it may have been slow.
+     */
+    bool wasSilentBefore(const std::string &endpoint, TimePoint sentAt, std::uint64_t fingerprint) const;
     bool isQuarantined(std::uint64_t fingerprint, TimePoint now) const;
     bool isSuspect(std::uint64_t fingerprint, TimePoint now) const;
     /** Returns the number of crashes that count for the fingerprint, 0 if it is not a suspect. */
@@ -121,6 +138,8 @@
     CrashReportSelection reports(TimePoint now, std::size_t maxCount, double draw) const;
     /** Returns at most `maxCount` suspects that this process cleared within OWN_REPORT_TIME, selected by `draw`. */
     std::vector<ClearedSuspect> clearedSuspects(TimePoint now, std::size_t maxCount, double draw) const;
+    /** Returns at most `maxCount` suspected endpoints that responded to this process since, selected by `draw`. */
+    std::vector<EndpointSighting> sightings(TimePoint now, std::size_t maxCount, double draw) const;
     std::size_t suspectCount() const
     {
         return m_suspects.size();
@@ -149,13 +168,11 @@
     {
         /** When the latest request was sent to which the endpoint responded. */
         TimePoint respondedAt;
-        /** The earliest crash known since; not later than `respondedAt` if there is none. */
-        TimePoint crashedAt;
-        /** When that crash counted, which is later for a silent endpoint; see Crash::countsFrom. */
-        TimePoint crashCountsFrom;
+        /** The same for responses to this process. */
+        TimePoint respondedToUsAt;
+        /** When this process last lost a connection to the endpoint. */
+        TimePoint lostAt;
         bool hasEnded = false;
-
-        void noteCrash(const Crash &crash);
     };
     struct Suspect
     {
@@ -168,6 +185,7 @@
     void clear(std::uint64_t fingerprint, const Clearance &clearance);
     bool isCleared(std::uint64_t fingerprint, const Crash &crash) const;
     bool counts(const Crash &crash, TimePoint now) const;
+    bool isWithdrawn(const Crash &crash) const;
     bool isSameCrash(const std::string &endpoint, TimePoint at, const Crash &crash) const;
     /** Whether another suspect with at least as many crashes was interrupted by the same crash. */
     bool isDisputed(const CrashReport &report, int crashCount, TimePoint now) const;
@@ -177,7 +195,7 @@
     std::unordered_map<std::uint64_t, Suspect> m_suspects;
     /** By fingerprint; entries are kept for QUARANTINE_TIME, as long as a report of an earlier crash is accepted. */
     std::unordered_map<std::uint64_t, Clearance> m_cleared;
-    /** By endpoint; entries are kept for QUARANTINE_TIME after the latest response or crash. */
+    /** By endpoint; entries are kept for QUARANTINE_TIME after the latest response or lost connection. */
     std::unordered_map<std::string, Liveness> m_liveness;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -105,6 +105,7 @@
     out.crashes = std::move(selection.reports);
     out.clearedSuspects
         = m_quarantine.clearedSuspects(m_loop.now(), PeerDigest::MAX_CLEARED_SUSPECTS, randomFraction());
+    out.sightings = m_quarantine.sightings(m_loop.now(), PeerDigest::MAX_SIGHTINGS, randomFraction());
     m_metrics.set("cyclamenturn_crash_suspects", {}, static_cast<double>(m_quarantine.suspectCount()));
     m_metrics.count("cyclamenturn_crash_reports_left_out", {}, static_cast<double>(selection.leftOut));
     return out;
@@ -119,6 +120,9 @@
     for (const auto &cleared : digest.clearedSuspects) {
         m_quarantine.merge(cleared, m_loop.now());
     }
+    for (const auto &sighting : digest.sightings) {
+        m_quarantine.merge(sighting);
+    }
     for (const auto &report : digest.crashes) {
         m_quarantine.merge(report, m_loop.now());
         m_metrics.count("cyclamenturn_crash_reports", {{"from", "peer"}});
--- a/src/gateway/peerdigest.cpp
+++ b/src/gateway/peerdigest.cpp
@@ -60,6 +60,12 @@
     }
     out << Poco::UInt64(digest.configurationRevision.era) << Poco::UInt64(digest.configurationVersion)
         << ageMs(digest.configurationConfirmedAt, now);
+    const std::size_t sightingCount = std::min(digest.sightings.size(), PeerDigest::MAX_SIGHTINGS);
+    out << static_cast<Poco::UInt8>(sightingCount);
+    for (std::size_t i = 0; i < sightingCount; ++i) {
+        const EndpointSighting &sighting = digest.sightings[i];
+        out << ageMs(sighting.sentAt, now) << sighting.endpoint;
+    }
     out.flush();
     return stream.str();
 }
@@ -122,6 +128,17 @@
     out.configurationRevision = {configurationEra, configurationRevision};
     out.configurationVersion = configurationVersion;
     out.configurationConfirmedAt = now - milliseconds(configurationAge);
+    count = 0;
+    in >> count;
+    for (int i = 0; i < count && in.good(); ++i) {
+        Poco::UInt32 age = 0;
+        std::string endpoint;
+        in >> age;
+        if (!readText(in, endpoint)) {
+            return std::nullopt;
+        }
+        out.sightings.push_back({endpoint, now - milliseconds(age)});
+    }
     if (!in.good() || out.name.empty()) {
         return std::nullopt;
     }
--- a/src/gateway/peerdigest.h
+++ b/src/gateway/peerdigest.h
@@ -5,6 +5,7 @@
 
 #include "clearedsuspect.h"
 #include "crashreport.h"
+#include "endpointsighting.h"
 #include "storerevision.h"
 #include "workloadsplit.h"
 
@@ -38,6 +39,7 @@
     /** Limits that keep a digest within one packet. */
     static constexpr std::size_t MAX_CRASHES = 32;
     static constexpr std::size_t MAX_CLEARED_SUSPECTS = 16;
+    static constexpr std::size_t MAX_SIGHTINGS = 16;
 
     std::string name;
     /** Start time of the process in microseconds of its VM's clock; a different value shows a restart. */
@@ -55,6 +57,8 @@
     std::vector<EndpointRequests> endpointRequests;
     std::vector<CrashReport> crashes;
     std::vector<ClearedSuspect> clearedSuspects;
+    /** Suspected endpoints that responded to the gateway since. */
+    std::vector<EndpointSighting> sightings;
 };
 
 /** The hash that identifies an endpoint in digests. */
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -429,7 +429,7 @@
 
 void RequestFlow::recordLostConnection()
 {
-    if (m_gateway.quarantine().hasCrashedBefore(m_incarnation, m_sentAt)) {
+    if (m_gateway.quarantine().hasEndedBefore(m_incarnation, m_sentAt)) {
         noteIgnoredEvidence("connection_lost");
         return;
     }
@@ -449,7 +449,7 @@
     if (!isSilent) {
         return;
     }
-    if (m_gateway.quarantine().hasCrashedBefore(m_incarnation, m_sentAt)) {
+    if (m_gateway.quarantine().wasSilentBefore(m_incarnation, m_sentAt, m_fingerprint)) {
         noteIgnoredEvidence("silence");
         return;
     }
--- a/test/correctness/crashquarantine.cpp
+++ b/test/correctness/crashquarantine.cpp
@@ -82,7 +82,10 @@
 
     table.noteResponse("desk-1", sentAt);
     CHECK(table.crashes(7, countsFrom) == 1);
-    table.noteResponse("desk-1", givenUpAt + milliseconds(1));
+    // The run may go on after the request was given up, and end the endpoint after this response.
+    table.noteResponse("desk-1", countsFrom);
+    CHECK(table.crashes(7, countsFrom) == 1);
+    table.noteResponse("desk-1", countsFrom + milliseconds(1));
     CHECK(table.crashes(7, countsFrom) == 0);
     CHECK(table.reports(countsFrom, 4, 0).reports.empty());
 }
@@ -137,13 +140,54 @@
 
 TEST_CASE("a request isn't blamed for an endpoint that had crashed before it was sent")
 {
+    constexpr std::uint64_t OTHER = 9;
     CrashQuarantine table;
     table.recordCrash(7, "e1", at(100));
-    CHECK_FALSE(table.hasCrashedBefore("e1", at(50)));
-    CHECK(table.hasCrashedBefore("e1", at(150)));
+    CHECK_FALSE(table.hasEndedBefore("e1", at(50)));
+    CHECK(table.hasEndedBefore("e1", at(150)));
+    CHECK(table.wasSilentBefore("e1", at(150), OTHER));
     table.noteResponse("e1", at(200));
-    CHECK_FALSE(table.hasCrashedBefore("e1", at(300)));
+    CHECK_FALSE(table.hasEndedBefore("e1", at(300)));
+    CHECK_FALSE(table.wasSilentBefore("e1", at(300), OTHER));
+    const TimePoint countsFrom = at(100) + CrashQuarantine::SILENCE_TIME;
     table.recordSilence(7, "e2", at(100), at(150));
-    CHECK_FALSE(table.hasCrashedBefore("e2", at(300)));
-    CHECK(table.hasCrashedBefore("e2", at(100) + CrashQuarantine::SILENCE_TIME + milliseconds(1)));
+    table.recordSilence(8, "e2", at(100), at(150));
+    CHECK_FALSE(table.wasSilentBefore("e2", at(300), OTHER));
+    CHECK(table.wasSilentBefore("e2", countsFrom + milliseconds(1), OTHER));
+}
+
+TEST_CASE("one slow request doesn't excuse the requests that are sent to its endpoint after it")
+{
+    constexpr std::uint64_t SLOW = 9;
+    CrashQuarantine table;
+    table.recordSilence(SLOW, "e1", at(0), at(1100));
+    CHECK_FALSE(table.hasEndedBefore("e1", at(1200)));
+    CHECK_FALSE(table.wasSilentBefore("e1", at(1200), 7));
+    // Its own repetition at the endpoint isn't a second silent request.
+    table.recordSilence(7, "e1", at(1200), at(1900));
+    CHECK_FALSE(table.wasSilentBefore("e1", at(2000), 7));
+}
+
+TEST_CASE("a reset long after another one isn't explained by the same end of the endpoint")
+{
+    CrashQuarantine table;
+    table.recordCrash(7, "e1", at(0));
+    CHECK(table.hasEndedBefore("e1", at(0) + CrashQuarantine::END_SPREAD - milliseconds(1)));
+    CHECK_FALSE(table.hasEndedBefore("e1", at(0) + CrashQuarantine::END_SPREAD));
+}
+
+TEST_CASE("a response that one process received withdraws the silence that another one recorded")
+{
+    CrashQuarantine first;
+    CrashQuarantine second;
+    first.recordSilence(7, "e1", at(0), at(1100));
+    second.merge(first.reports(at(1100), 4, 0).reports.at(0), at(1150));
+    CHECK(second.sightings(at(1200), 4, 0).empty());
+    second.noteResponse("e1", at(1300));
+    first.merge(second.sightings(at(1350), 4, 0).at(0));
+    // The report may have been delayed by more than the sighting.
+    CHECK(first.crashes(7, at(1350)) == 1);
+    second.noteResponse("e1", at(1101) + CrashQuarantine::SIGHTING_MARGIN);
+    first.merge(second.sightings(at(1700), 4, 0).at(0));
+    CHECK(first.crashes(7, at(1700)) == 0);
 }
--- a/test/correctness/peerdigest.cpp
+++ b/test/correctness/peerdigest.cpp
@@ -27,6 +27,7 @@
     out.endpointRequests = {{9, inFlight, 1000}};
     out.crashes = {{42, "e", START - milliseconds(500)}};
     out.clearedSuspects = {{43, START - milliseconds(200)}};
+    out.sightings = {{"e", START - milliseconds(100)}};
     return out;
 }
 
@@ -46,6 +47,7 @@
     CHECK(received->endpointRequests == sent.endpointRequests);
     REQUIRE(received->crashes.size() == 1);
     CHECK(received->clearedSuspects == std::vector<ClearedSuspect>{{43, otherClock - milliseconds(200)}});
+    CHECK(received->sightings == std::vector<EndpointSighting>{{"e", otherClock - milliseconds(100)}});
     CHECK(received->crashes[0] == CrashReport{42, "e", otherClock - milliseconds(500)});
 }
 
--- a/test/soak/crashload.py
+++ b/test/soak/crashload.py
@@ -2,6 +2,7 @@
 """Load test with requests that crash the endpoints on which they run, at the size of a site.
 
     python3 test/soak/crashload.py BUILD --seed 1 --end reset            kovacic-lektura: 12 gateways, 12 engines, 3 desks
+    python3 test/soak/crashload.py BUILD --seed 1 --longest-run-ms 120 --down-s 3.2    ends after the response timeout, too
     python3 test/soak/crashload.py BUILD --seed 1 --end cut --gateways 36 --engines 24 --desks 4 --faults
 
 Equal crashing requests arrive at any gateway, several at the same time, beside innocent requests that the crashes
@@ -34,12 +35,14 @@
           route("draft", "engine", "streaming", sticky=True, can_resume=True, max_attempts=2, slo_ms=300,
                 timeout_ms=12000, gap_target_ms=200),
           route("send", "desk", "non_idempotent", max_attempts=1, slo_ms=100, timeout_ms=1000),
-          route("look", "desk", max_attempts=2, slo_ms=100, timeout_ms=1000)]
-CALLER_TIMEOUT_S = {"check": 2.4, "draft": 2.0, "send": 1.0, "look": 1.0}
+          route("look", "desk", max_attempts=2, slo_ms=100, timeout_ms=1000),
+          route("slow", "desk", "non_idempotent", max_attempts=1, slo_ms=100, timeout_ms=1100)]
+CALLER_TIMEOUT_S = {"check": 2.4, "draft": 2.0, "send": 1.0, "look": 1.0, "slow": 3.0}
 EVENTS = {"check": 9, "draft": 24}
 FIRST_EVENT_S, EVENT_PAUSE_S, PLAIN_WORK_S = 0.1, 0.02, 0.015
-# A crashing request takes its endpoint down this long after it began to run.
-CRASH_DELAY_S = 0.01
+# Requests to the route "slow" run longer than its timeout, on an endpoint that works.
+SLOW_WORK_S = 2.4
+# How long an endpoint is down when `--down-s` doesn't say.
 DOWN_S = 2.0
 # The platform removes the entry of an endpoint after three missed heartbeats.
 ENTRY_LAPSE_S = 3.6
@@ -90,11 +93,11 @@
         route_name = request.target.split("/")[1]
         self.fleet.record.add_arrival(request.headers["x-attempt-id"], request.body, name)
         if request.body.startswith(CRASHING_BODY):
-            time.sleep(CRASH_DELAY_S)
+            time.sleep(self.fleet.random.uniform(0.01, self.fleet.longest_run_s))
             self.crash(name, request.body)
             raise EndpointEnded
         if route_name not in EVENTS:
-            time.sleep(PLAIN_WORK_S)
+            time.sleep(SLOW_WORK_S if route_name == "slow" else PLAIN_WORK_S)
             self.send(connection, name, sealed_response(request))
             return
         time.sleep(FIRST_EVENT_S)
@@ -122,7 +125,7 @@
         if self.fleet.end == "reset":
             self.server.close()
         threading.Timer(ENTRY_LAPSE_S, self.fleet.store.remove, (f"servers/{name}",)).start()
-        threading.Timer(DOWN_S, self.restart).start()
+        threading.Timer(self.fleet.down_s, self.restart).start()
 
     def restart(self):
         with self.lock:
@@ -170,6 +173,7 @@
 class Fleet:
     def __init__(self, arguments):
         self.end, self.random, self.record = arguments.end, random.Random(arguments.seed), CrashRecord()
+        self.down_s, self.longest_run_s = arguments.down_s, arguments.longest_run_ms / 1000
         self.relay = DatagramRelay(self.random.random)
         self.store = RelayedStore(self.relay)
         self.store.put("op/config", configuration(1, ROUTES))
@@ -204,9 +208,10 @@
 class InnocentCaller(threading.Thread):
     """Sends requests with a body of their own, each again after a failure, as callers do."""
 
-    def __init__(self, fleet, seed, repeats, stop):
+    def __init__(self, fleet, seed, repeats, stop, pause_s):
         super().__init__(daemon=True)
         self.fleet, self.random, self.repeats, self.stop = fleet, random.Random(seed), repeats, stop
+        self.pause_s = pause_s
 
     def run(self):
         while not self.stop.is_set():
@@ -219,7 +224,20 @@
                 if not may_repeat:
                     break
                 time.sleep(0.1)
-            time.sleep(self.random.uniform(0.01, 0.1))
+            time.sleep(self.random.uniform(0.01, self.pause_s))
+
+
+class SlowCaller(threading.Thread):
+    """Sends requests that run longer than their route's timeout, so that gateways give them up in silence."""
+
+    def __init__(self, fleet, seed, per_second, stop):
+        super().__init__(daemon=True)
+        self.fleet, self.random, self.per_second, self.stop = fleet, random.Random(seed), per_second, stop
+
+    def run(self):
+        while not self.stop.wait(self.random.expovariate(self.per_second)):
+            arguments = (self.random.choice(self.fleet.gateways), "slow", b"slow " + os.urandom(8).hex().encode())
+            threading.Thread(target=self.fleet.send, args=arguments, daemon=True).start()
 
 
 class CrashingCaller(threading.Thread):
@@ -272,7 +290,10 @@
     fleet, stop = Fleet(arguments), threading.Event()
     try:
         seed = arguments.seed * 1000
-        threads = [InnocentCaller(fleet, seed + i, arguments.repeats, stop) for i in range(INNOCENT_CALLERS)]
+        threads = [InnocentCaller(fleet, seed + i, arguments.repeats, stop, arguments.pause_s)
+                   for i in range(INNOCENT_CALLERS)]
+        if arguments.slow_per_s:
+            threads.append(SlowCaller(fleet, seed + 400, arguments.slow_per_s, stop))
         threads += [CrashingCaller(fleet, seed + 500 + i, i, stop) for i in range(arguments.crashing)]
         if arguments.faults:
             fleet.relay.loss = 0.2
@@ -313,6 +334,11 @@
     parser.add_argument("--engines", type=int, default=12)
     parser.add_argument("--desks", type=int, default=3)
     parser.add_argument("--crashing", type=int, default=4, help="number of different crashing requests")
+    parser.add_argument("--longest-run-ms", type=float, default=10,
+                        help="a crashing request ends its endpoint 10 ms to this long after it began to run")
+    parser.add_argument("--down-s", type=float, default=DOWN_S, help="how long an endpoint is down")
+    parser.add_argument("--pause-s", type=float, default=0.1, help="longest pause of an innocent caller")
+    parser.add_argument("--slow-per-s", type=float, default=0, help="requests a second that outlast their timeout")
     parser.add_argument("--repeats", type=int, default=1, help="how often callers repeat an innocent request")
     parser.add_argument("--seconds", type=float, default=18)
     parser.add_argument("--first-port", type=int, default=FIRST_PORT)
