A response of a restarted endpoint under its old id doesn't withdraw the crash before

Callers and endpoints saw: while the list of endpoints shows no new start (the store is away or late), a request that crashes endpoints goes on crashing them as they come back under their ids. Cause: any response to a later request was taken to show that the endpoint had never ended, and all its ends counted as one.

A refused connection now makes the known crashes of an endpoint final: they stay evidence on what the gateways saw themselves, and a crash more than a second after a final one counts apart. Reports between gateways carry it.

The unit test failed before, as there was no such evidence.

--- a/src/crashquarantine.cpp
+++ b/src/crashquarantine.cpp
@@ -61,6 +61,23 @@
     liveness.hasEnded = true;
 }
 
+void CrashQuarantine::noteRefusedConnection(const std::string &endpoint, TimePoint now)
+{
+    const auto found = m_liveness.find(endpoint);
+    if (found == m_liveness.end() || found->second.refusedAt >= found->second.crashAddedAt) {
+        return;
+    }
+    found->second.refusedAt = now;
+    for (auto &[fingerprint, suspect] : m_suspects) {
+        for (auto &crash : suspect.crashes) {
+            if (crash.endpoint == endpoint && !isWithdrawn(crash)) {
+                crash.isFinal = true;
+                crash.countsFrom = std::min(crash.countsFrom, now);
+            }
+        }
+    }
+}
+
 bool CrashQuarantine::hasEndedBefore(const std::string &endpoint, TimePoint sentAt) const
 {
     const auto found = m_liveness.find(endpoint);
@@ -80,7 +97,7 @@
         const auto &crashes = item.second.crashes;
         return item.first != fingerprint
             && std::any_of(crashes.begin(), crashes.end(), [&](const Crash &crash) {
-                   return crash.endpoint == endpoint && crash.countsFrom < sentAt && !isWithdrawn(crash);
+                   return crash.endpoint == endpoint && crash.countsFrom < sentAt && !hasRespondedSince(crash);
                });
     });
     return silentRequests >= MIN_SILENT_REQUESTS;
@@ -131,7 +148,7 @@
     const bool old = report.at + QUARANTINE_TIME <= now;
     const bool future = report.at > now + QUARANTINE_TIME;
     if (!old && !future) {
-        add(report.fingerprint, {report.endpoint, report.at, report.at, false}, now);
+        add(report.fingerprint, {report.endpoint, report.at, report.at, false, report.isFinal}, now);
     }
 }
 
@@ -140,6 +157,7 @@
     if (isCleared(fingerprint, crash)) {
         return;
     }
+    m_liveness[crash.endpoint].crashAddedAt = now;
     if (m_suspects.size() >= MAX_SUSPECTS) {
         expire(now);
     }
@@ -151,12 +169,13 @@
 void CrashQuarantine::add(Suspect &suspect, const Crash &crash)
 {
     const auto known = std::find_if(suspect.crashes.begin(), suspect.crashes.end(),
-        [this, &crash](const Crash &other) { return isSameCrash(crash.endpoint, crash.at, other); });
+        [this, &crash](const Crash &other) { return isSameCrash(crash, other); });
     if (known != suspect.crashes.end()) {
         // A report grows a little younger with each process that passes it on, and would otherwise never expire.
         known->at = crash.at - known->at < CRASH_REPORT_WINDOW ? std::min(known->at, crash.at) : crash.at;
         known->countsFrom = std::min(known->countsFrom, crash.countsFrom);
         known->isOwn = known->isOwn || crash.isOwn;
+        known->isFinal = known->isFinal || crash.isFinal;
     } else if (suspect.crashes.size() < MAX_CRASHES) {
         suspect.crashes.push_back(crash);
     }
@@ -170,26 +189,33 @@
     return now >= crash.countsFrom && !isWithdrawn(crash);
 }
 
-bool CrashQuarantine::isWithdrawn(const Crash &crash) const
+bool CrashQuarantine::hasRespondedSince(const Crash &crash) const
 {
     const auto found = m_liveness.find(crash.endpoint);
     return found != m_liveness.end() && !found->second.hasEnded && found->second.respondedAt > crash.countsFrom;
 }
 
-bool CrashQuarantine::isSameCrash(const std::string &endpoint, TimePoint at, const Crash &crash) const
+bool CrashQuarantine::isWithdrawn(const Crash &crash) const
+{
+    return !crash.isFinal && hasRespondedSince(crash);
+}
+
+bool CrashQuarantine::isSameCrash(const Crash &crash, const Crash &other) const
 {
-    return crash.endpoint == endpoint && crash.at - at < m_sameCrashWindow && at - crash.at < m_sameCrashWindow;
+    const Duration window = crash.isFinal || other.isFinal ? CRASH_REPORT_WINDOW : m_sameCrashWindow;
+    return crash.endpoint == other.endpoint && crash.at - other.at < window && other.at - crash.at < window;
 }
 
 bool CrashQuarantine::isDisputed(const CrashReport &report, int crashCount, TimePoint now) const
 {
+    const Crash reported{report.endpoint, report.at, report.at, false, report.isFinal};
     return std::any_of(m_suspects.begin(), m_suspects.end(), [&](const auto &item) {
         const auto &[fingerprint, suspect] = item;
         const bool mayBeCause
             = fingerprint != report.fingerprint && suspect.crashes.size() >= static_cast<std::size_t>(crashCount);
         return mayBeCause && crashes(fingerprint, now) >= crashCount
             && std::any_of(suspect.crashes.begin(), suspect.crashes.end(), [&](const Crash &crash) {
-                   return counts(crash, now) && isSameCrash(report.endpoint, report.at, crash);
+                   return counts(crash, now) && isSameCrash(reported, crash);
                });
     });
 }
@@ -227,7 +253,7 @@
     for (const auto &crash : m_suspects.at(fingerprint).crashes) {
         if (counts(crash, now)) {
             ++out.counted;
-            out.disputed += isDisputed({fingerprint, crash.endpoint, crash.at}, crashCount, now) ? 1 : 0;
+            out.disputed += isDisputed({fingerprint, crash.endpoint, crash.at, crash.isFinal}, crashCount, now) ? 1 : 0;
         } else if (now < crash.countsFrom) {
             ++out.pending;
         } else {
@@ -243,7 +269,7 @@
     if (isSuspect(fingerprint, now)) {
         for (const auto &crash : m_suspects.at(fingerprint).crashes) {
             if (counts(crash, now)) {
-                out.push_back({fingerprint, crash.endpoint, crash.countsFrom});
+                out.push_back({fingerprint, crash.endpoint, crash.countsFrom, crash.isFinal});
             }
         }
     }
@@ -265,7 +291,7 @@
                 continue;
             }
             auto &group = isRepeated ? (isFresh ? freshRepeated : olderRepeated) : (isFresh ? freshOwn : olderOwn);
-            group.push_back({fingerprint, crash.endpoint, crash.countsFrom});
+            group.push_back({fingerprint, crash.endpoint, crash.countsFrom, crash.isFinal});
         }
     }
     CrashReportSelection out;
--- a/src/crashquarantine.h
+++ b/src/crashquarantine.h
@@ -103,6 +103,11 @@
      * the same id.
      */
     void noteEndpointEnded(const std::string &endpoint, TimePoint now);
+    /**
+     * Records that nothing listens at the address of `endpoint`: the crashes known by now ended it for certain. Later
+     * responses, and later crashes, are those of a successor under the same name.
+     */
+    void noteRefusedConnection(const std::string &endpoint, TimePoint now);
     /** Removes a fingerprint after a run that completed. Reports of earlier crashes are ignored from then on. */
     void clearSuspect(std::uint64_t fingerprint, TimePoint now);
     /**
@@ -156,6 +161,8 @@
         TimePoint countsFrom;
         /** Whether this process recorded it, and not only others. */
         bool isOwn = false;
+        /** See CrashReport::isFinal. */
+        bool isFinal = false;
     };
     struct Clearance
     {
@@ -172,6 +179,10 @@
         TimePoint respondedToUsAt;
         /** When this process last lost a connection to the endpoint. */
         TimePoint lostAt;
+        /** When a crash was last added. */
+        TimePoint crashAddedAt;
+        /** When a connection was last refused. */
+        TimePoint refusedAt;
         bool hasEnded = false;
     };
     struct Suspect
@@ -185,8 +196,9 @@
     void clear(std::uint64_t fingerprint, const Clearance &clearance);
     bool isCleared(std::uint64_t fingerprint, const Crash &crash) const;
     bool counts(const Crash &crash, TimePoint now) const;
+    bool hasRespondedSince(const Crash &crash) const;
     bool isWithdrawn(const Crash &crash) const;
-    bool isSameCrash(const std::string &endpoint, TimePoint at, const Crash &crash) const;
+    bool isSameCrash(const Crash &crash, const Crash &other) const;
     /** Whether another suspect with at least as many crashes was interrupted by the same crash. */
     bool isDisputed(const CrashReport &report, int crashCount, TimePoint now) const;
 
--- a/src/crashreport.h
+++ b/src/crashreport.h
@@ -20,10 +20,13 @@
     /** The endpoint that crashed. */
     std::string endpoint;
     TimePoint at;
+    /** Whether the endpoint has ended for certain, so that responses under its name come from a successor. */
+    bool isFinal = false;
 
     bool operator==(const CrashReport &other) const
     {
-        return std::tie(fingerprint, endpoint, at) == std::tie(other.fingerprint, other.endpoint, other.at);
+        return std::tie(fingerprint, endpoint, at, isFinal)
+            == std::tie(other.fingerprint, other.endpoint, other.at, other.isFinal);
     }
 };
 
--- a/src/gateway/peerdigest.cpp
+++ b/src/gateway/peerdigest.cpp
@@ -50,7 +50,8 @@
     out << static_cast<Poco::UInt8>(crashCount);
     for (std::size_t i = 0; i < crashCount; ++i) {
         const CrashReport &report = digest.crashes[i];
-        out << Poco::UInt64(report.fingerprint) << ageMs(report.at, now) << report.endpoint;
+        out << Poco::UInt64(report.fingerprint) << ageMs(report.at, now) << report.endpoint
+            << static_cast<Poco::UInt8>(report.isFinal);
     }
     const std::size_t clearedCount = std::min(digest.clearedSuspects.size(), PeerDigest::MAX_CLEARED_SUSPECTS);
     out << static_cast<Poco::UInt8>(clearedCount);
@@ -110,11 +111,13 @@
         Poco::UInt64 fingerprint = 0;
         Poco::UInt32 age = 0;
         std::string endpoint;
+        Poco::UInt8 isFinal = 0;
         in >> fingerprint >> age;
         if (!readText(in, endpoint)) {
             return std::nullopt;
         }
-        out.crashes.push_back({fingerprint, endpoint, now - milliseconds(age)});
+        in >> isFinal;
+        out.crashes.push_back({fingerprint, endpoint, now - milliseconds(age), isFinal != 0});
     }
     count = 0;
     in >> count;
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -392,6 +392,10 @@
 void RequestFlow::exchangeFailed(ExchangeFailure failure)
 {
     switch (failure) {
+    case ExchangeFailure::Refused:
+        m_gateway.quarantine().noteRefusedConnection(m_incarnation, m_gateway.loop().now());
+        attemptFailed(AttemptOutcome::NotSent, EndpointResult::NotConnected, GatewayRefusal::NotReached);
+        break;
     case ExchangeFailure::NotConnected:
         attemptFailed(AttemptOutcome::NotSent, EndpointResult::NotConnected, GatewayRefusal::NotReached);
         break;
--- a/src/transport/httpclientconnection.cpp
+++ b/src/transport/httpclientconnection.cpp
@@ -134,7 +134,7 @@
         return;
     }
     if (!m_connection.isConnected()) {
-        fail(ExchangeFailure::NotConnected);
+        fail(reason == DisconnectReason::Refused ? ExchangeFailure::Refused : ExchangeFailure::NotConnected);
         return;
     }
     const bool isComplete
--- a/src/transport/httpclientconnection.h
+++ b/src/transport/httpclientconnection.h
@@ -17,6 +17,8 @@
 enum class ExchangeFailure {
     /** No connection was established, so no byte of the request was sent. */
     NotConnected,
+    /** The same, since nothing listens at the address. */
+    Refused,
     /** The connection was closed or reset before the response was complete. */
     ConnectionLost,
     /** The server sent data that is not a valid HTTP response. */
--- a/src/transport/tcpconnection.cpp
+++ b/src/transport/tcpconnection.cpp
@@ -45,12 +45,10 @@
         m_socket.connectNB(Poco::Net::SocketAddress(address.host, static_cast<Poco::UInt16>(address.port)));
         setSocketOptions();
         m_loop.watch(m_socket, m_modes, this);
+    } catch (const Poco::Net::ConnectionRefusedException &) {
+        reportDisconnectLater(DisconnectReason::Refused);
     } catch (const Poco::Exception &) {
-        m_loop.callAt(m_loop.now(), [this, alive = std::weak_ptr<bool>(m_alive)] {
-            if (!alive.expired()) {
-                reportDisconnect(DisconnectReason::Lost);
-            }
-        });
+        reportDisconnectLater(DisconnectReason::Lost);
     }
 }
 
@@ -64,6 +62,15 @@
     }
 }
 
+void TcpConnection::reportDisconnectLater(DisconnectReason reason)
+{
+    m_loop.callAt(m_loop.now(), [this, reason, alive = std::weak_ptr<bool>(m_alive)] {
+        if (!alive.expired()) {
+            reportDisconnect(reason);
+        }
+    });
+}
+
 void TcpConnection::setSocketOptions()
 {
     m_socket.setBlocking(false);
@@ -128,7 +135,7 @@
     int error = 0;
     m_socket.getOption(SOL_SOCKET, SO_ERROR, error);
     if (error != 0) {
-        reportDisconnect(DisconnectReason::Lost);
+        reportDisconnect(error == ECONNREFUSED ? DisconnectReason::Refused : DisconnectReason::Lost);
         return false;
     }
     m_connected = true;
--- a/src/transport/tcpconnection.h
+++ b/src/transport/tcpconnection.h
@@ -18,6 +18,8 @@
 enum class DisconnectReason {
     /** The peer closed its side of the connection in an orderly way. */
     ClosedByPeer,
+    /** The connection was refused: nothing listens at the address. */
+    Refused,
     /** The connection could not be established, was reset, or failed for another reason. */
     Lost,
 };
@@ -76,6 +78,8 @@
     bool sendPending();
     void receive();
     void reportDisconnect(DisconnectReason reason);
+    /** For the constructor, whose caller doesn't expect a call of its listener. */
+    void reportDisconnectLater(DisconnectReason reason);
     void updateModes();
     void setSocketOptions();
 
--- a/test/correctness/crashquarantine.cpp
+++ b/test/correctness/crashquarantine.cpp
@@ -101,6 +101,38 @@
     CHECK(table.crashes(7, at(800)) == 1);
 }
 
+TEST_CASE("a response under the id of an endpoint that has refused connections doesn't withdraw its crash")
+{
+    constexpr std::uint64_t OTHER = 8;
+    CrashQuarantine table(3, CrashQuarantine::QUARANTINE_TIME);
+    CrashQuarantine peer(3, CrashQuarantine::QUARANTINE_TIME);
+    for (int life = 0; life < 3; ++life) {
+        const TimePoint endedAt = at(10000 * life);
+        table.recordCrash(7, "desk-1", endedAt);
+        table.noteRefusedConnection("desk-1", endedAt + milliseconds(500));
+        table.recordCrash(OTHER, "desk-1", endedAt + milliseconds(600)); // a reset that is noticed late
+        table.noteResponse("desk-1", endedAt + milliseconds(5000));
+        CHECK(table.crashes(7, endedAt + milliseconds(5000)) == life + 1);
+        for (const CrashReport &report : table.reports(endedAt + milliseconds(5000), 8, 0).reports) {
+            peer.merge(report, endedAt + milliseconds(5100));
+        }
+        peer.noteResponse("desk-1", endedAt + milliseconds(5200));
+        CHECK(peer.crashes(7, endedAt + milliseconds(5200)) == life + 1);
+    }
+    CHECK(table.isQuarantined(7, at(25000)));
+    // The new life of the endpoint isn't blamed on requests that ran in the earlier ones.
+    CHECK_FALSE(table.wasSilentBefore("desk-1", at(25100), 9));
+}
+
+TEST_CASE("a refused connection doesn't confirm a crash that a response had withdrawn")
+{
+    CrashQuarantine table;
+    table.recordCrash(7, "desk-1", at(0));
+    table.noteResponse("desk-1", at(100));
+    table.noteRefusedConnection("desk-1", at(200));
+    CHECK(table.crashes(7, at(300)) == 0);
+}
+
 TEST_CASE("a report from another process doesn't count at one that has received a later response of the endpoint")
 {
     CrashQuarantine table;
--- a/test/correctness/peerdigest.cpp
+++ b/test/correctness/peerdigest.cpp
@@ -25,7 +25,7 @@
     out.configurationConfirmedAt = START - milliseconds(700);
     out.demand = {120, 3};
     out.endpointRequests = {{9, inFlight, 1000}};
-    out.crashes = {{42, "e", START - milliseconds(500)}};
+    out.crashes = {{42, "e", START - milliseconds(500), true}};
     out.clearedSuspects = {{43, START - milliseconds(200)}};
     out.sightings = {{"e", START - milliseconds(100)}};
     return out;
@@ -48,7 +48,7 @@
     REQUIRE(received->crashes.size() == 1);
     CHECK(received->clearedSuspects == std::vector<ClearedSuspect>{{43, otherClock - milliseconds(200)}});
     CHECK(received->sightings == std::vector<EndpointSighting>{{"e", otherClock - milliseconds(100)}});
-    CHECK(received->crashes[0] == CrashReport{42, "e", otherClock - milliseconds(500)});
+    CHECK(received->crashes[0] == CrashReport{42, "e", otherClock - milliseconds(500), true});
 }
 
 TEST_CASE("incomplete digests are refused, and corrupted ones don't crash the decoder")
--- a/test/soak/crashload.py
+++ b/test/soak/crashload.py
@@ -65,7 +65,8 @@
 
     @property
     def name(self):
-        return f"{self.service}-{self.index}.{self.incarnation}"
+        return f"{self.service}-{self.index}" if self.fleet.under_old_ids else \
+            f"{self.service}-{self.index}.{self.incarnation}"
 
     def register(self):
         self.fleet.store.put(f"servers/{self.name}", {
@@ -76,45 +77,45 @@
     def serve(self, connection, stream):
         try:
             while (request := read_request(stream)):
-                name = self.name
+                name, incarnation = self.name, self.incarnation
                 if not self.is_up:
                     raise EndpointEnded
                 if request.headers.get("x-expect-instance") != name:
                     connection.sendall(sealed_response(request, 421, b"", "X-Not-Executed: 1\r\n"))
                     continue
-                self.run(connection, request, name)
+                self.run(connection, request, name, incarnation)
         except EndpointEnded:
             if self.fleet.end == "reset":
                 reset(connection)
                 return
             connection.recv(1)  # returns when the gateway closes the connection
 
-    def run(self, connection, request, name):
+    def run(self, connection, request, name, incarnation):
         route_name = request.target.split("/")[1]
         self.fleet.record.add_arrival(request.headers["x-attempt-id"], request.body, name)
         if request.body.startswith(CRASHING_BODY):
             time.sleep(self.fleet.random.uniform(0.01, self.fleet.longest_run_s))
-            self.crash(name, request.body)
+            self.crash(name, incarnation, request.body)
             raise EndpointEnded
         if route_name not in EVENTS:
             time.sleep(SLOW_WORK_S if route_name == "slow" else PLAIN_WORK_S)
-            self.send(connection, name, sealed_response(request))
+            self.send(connection, name, incarnation, sealed_response(request))
             return
         time.sleep(FIRST_EVENT_S)
-        self.send(connection, name, stream_head(request))
+        self.send(connection, name, incarnation, stream_head(request))
         for event in range(int(request.headers.get("last-event-id", 0)) + 1, EVENTS[route_name] + 1):
-            self.send(connection, name, chunk(f"id: {event}\ndata: {event}\n\n"))
+            self.send(connection, name, incarnation, chunk(f"id: {event}\ndata: {event}\n\n"))
             time.sleep(EVENT_PAUSE_S)
-        self.send(connection, name, b"0\r\n\r\n")
+        self.send(connection, name, incarnation, b"0\r\n\r\n")
 
-    def send(self, connection, name, data):
-        if not self.is_up or name != self.name:
+    def send(self, connection, name, incarnation, data):
+        if not self.is_up or name != self.name or incarnation != self.incarnation:
             raise EndpointEnded
         connection.sendall(data)
 
-    def crash(self, name, body):
+    def crash(self, name, incarnation, body):
         with self.lock:
-            if not self.is_up or name != self.name:
+            if not self.is_up or incarnation != self.incarnation:
                 return
             self.is_up = False
         self.fleet.record.add_crash(body, name)
@@ -124,7 +125,8 @@
                 reset_by_peer(connection)
         if self.fleet.end == "reset":
             self.server.close()
-        threading.Timer(ENTRY_LAPSE_S, self.fleet.store.remove, (f"servers/{name}",)).start()
+        if not self.fleet.under_old_ids:
+            threading.Timer(ENTRY_LAPSE_S, self.fleet.store.remove, (f"servers/{name}",)).start()
         threading.Timer(self.fleet.down_s, self.restart).start()
 
     def restart(self):
@@ -133,7 +135,8 @@
                 self.server = Server(self.serve, self.server.port)
             self.incarnation += 1
             self.is_up = True
-        self.register()
+        if not self.fleet.under_old_ids:
+            self.register()
 
 
 def reset_by_peer(connection):
@@ -173,6 +176,7 @@
 class Fleet:
     def __init__(self, arguments):
         self.end, self.random, self.record = arguments.end, random.Random(arguments.seed), CrashRecord()
+        self.under_old_ids = arguments.under_old_ids
         self.down_s, self.longest_run_s = arguments.down_s, arguments.longest_run_ms / 1000
         self.relay = DatagramRelay(self.random.random)
         self.store = RelayedStore(self.relay)
@@ -337,6 +341,8 @@
     parser.add_argument("--longest-run-ms", type=float, default=10,
                         help="a crashing request ends its endpoint 10 ms to this long after it began to run")
     parser.add_argument("--down-s", type=float, default=DOWN_S, help="how long an endpoint is down")
+    parser.add_argument("--under-old-ids", action="store_true",
+                        help="endpoints restart under their ids, and the list never shows it")
     parser.add_argument("--pause-s", type=float, default=0.1, help="longest pause of an innocent caller")
     parser.add_argument("--slow-per-s", type=float, default=0, help="requests a second that outlast their timeout")
     parser.add_argument("--repeats", type=int, default=1, help="how often callers repeat an innocent request")
