Limits that endpoints name are kept by the fleet as one

Endpoints saw: engines that named a limit of 2 requests a second went on getting 6, 23 to 25 in 4 s where 17 are allowed. Cause: the header was not read, and nothing in the fleet could have kept a limit that is a small part of a request for each gateway.

All gateways rank the fleet's gateways for each endpoint; the first one that isn't down gives permits at the rate of the limit, and is asked for each request to an endpoint that names one.

--- a/src/gateway/admitrequest.cpp
+++ b/src/gateway/admitrequest.cpp
@@ -49,6 +49,8 @@
         return "all_full";
     case GatewayRefusal::Overloaded:
         return "overloaded";
+    case GatewayRefusal::LimitReached:
+        return "limit_reached";
     case GatewayRefusal::Quarantined:
         return "quarantined";
     case GatewayRefusal::Stopping:
@@ -89,6 +91,7 @@
     case GatewayRefusal::NoEndpoint:
     case GatewayRefusal::AllFull:
     case GatewayRefusal::Overloaded:
+    case GatewayRefusal::LimitReached:
     case GatewayRefusal::Quarantined:
     case GatewayRefusal::Stopping:
     case GatewayRefusal::TimedOutUnsent:
--- a/src/gateway/admitrequest.h
+++ b/src/gateway/admitrequest.h
@@ -31,6 +31,8 @@
     AllFull,
     /** The first event is expected too late to be of use. */
     Overloaded,
+    /** The usable endpoints accept no more requests at present, by the limits that they state. */
+    LimitReached,
     /** Equal requests were in progress when endpoints crashed. */
     Quarantined,
     /** The process stops before the request could be completed. */
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -57,8 +57,9 @@
     , m_peers(settings.name)
     , m_peerLink(
           loop, settings.peers, m_peers, [this] { return makeDigest(); }, *this)
+    , m_permits(loop, settings.name, m_peers, m_peerLink, m_metrics)
     , m_registration(loop, store, settings.store, settings.name, settings.peers,
-          [this](const Address &address) { m_peers.addContact(address, m_loop.now()); })
+          [this](const auto &name, const Address &address) { m_peers.addContact(name, address, m_loop.now()); })
     , m_incarnation(static_cast<std::uint64_t>(currentTime().time_since_epoch().count()))
 {
     m_callerServer.setRejectionHandler([this](const RejectedRequest &request) { return handleRejection(request); });
@@ -73,6 +74,7 @@
     m_store.start();
     m_registration.start();
     m_peerLink.start();
+    m_permits.start();
     housekeep();
 }
 
@@ -111,8 +113,24 @@
     return out;
 }
 
+void Gateway::permitQuestionReceived(const PermitQuestion &question, const Address &from)
+{
+    m_permits.questionReceived(question, from);
+}
+
+void Gateway::permitAnswerReceived(const PermitAnswer &answer)
+{
+    m_permits.answerReceived(answer);
+}
+
+void Gateway::endpointLimitReceived(const EndpointLimit &limit)
+{
+    m_permits.limitReceived(limit);
+}
+
 void Gateway::digestReceived(const PeerDigest &digest)
 {
+    m_permits.noteHeard(digest.name);
     m_placement.split().setPeerDemand(m_peers.demand());
     m_store.handlePeerConfigurationRevision(digest.configurationRevision);
     m_store.handlePeerConfirmation(digest.configurationRevision, digest.configurationConfirmedAt);
@@ -298,6 +316,7 @@
     const TimePoint now = m_loop.now();
     m_pool.expire(now);
     m_quarantine.expire(now);
+    m_permits.expire();
     m_metrics.set("cyclamenturn_store_calls", {}, static_cast<double>(m_store.calls()));
     m_metrics.set("cyclamenturn_endpoint_connections_opened", {}, static_cast<double>(m_pool.opened()));
     m_metrics.set("cyclamenturn_caller_connections", {}, static_cast<double>(m_callerServer.connectionCount()));
@@ -376,6 +395,7 @@
         case EndpointChange::Kind::Restarted:
             logChange("endpoint_restarted", change.record);
             m_quarantine.noteEndpointEnded(change.previous.incarnationName(), m_loop.now());
+            m_permits.forget(change.previous.incarnationName());
             m_pool.closeIdleConnections(id);
             m_statistics.erase(id);
             break;
@@ -385,6 +405,7 @@
             break;
         case EndpointChange::Kind::Removed:
             logChange("endpoint_gone", change.record);
+            m_permits.forget(change.record.incarnationName());
             m_pool.closeIdleConnections(id);
             m_statistics.erase(id);
             break;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -14,6 +14,7 @@
 #include "gatewaysettings.h"
 #include "messagecodec.h"
 #include "peerlink.h"
+#include "permitbroker.h"
 #include "placement.h"
 #include "registration.h"
 #include "retrywindow.h"
@@ -99,6 +100,10 @@
     {
         return m_quarantine;
     }
+    PermitBroker &permits()
+    {
+        return m_permits;
+    }
     EstimateCorrection &estimateCorrection()
     {
         return m_estimateCorrection;
@@ -134,6 +139,11 @@
     bool awaitsFirstConfiguration() const;
     /** Resumes the flow once this process is ready, or 500 ms after its start at the latest. */
     void resumeWhenReady(RequestFlow *flow);
+    /** Returns a reference that tells whether the flow still exists. */
+    std::weak_ptr<RequestFlow> reference(RequestFlow *flow) const
+    {
+        return m_flows.at(flow);
+    }
     /** Destroys a flow in the next iteration of the event loop, since the flow calls this itself. */
     void remove(RequestFlow *flow);
 
@@ -146,6 +156,9 @@
     Duration configurationWatchDuration() override;
     void digestReceived(const PeerDigest &digest) override;
     void endpointListUpdateReceived(const EndpointListUpdate &update) override;
+    void permitQuestionReceived(const PermitQuestion &question, const Address &from) override;
+    void permitAnswerReceived(const PermitAnswer &answer) override;
+    void endpointLimitReceived(const EndpointLimit &limit) override;
 
     void handleCaller(const HttpServerConnectionPtr &connection, ReceivedRequest request);
     HttpResponseHead handleRejection(const RejectedRequest &request);
@@ -191,6 +204,7 @@
     StoreLink m_store;
     PeerView m_peers;
     PeerLink m_peerLink;
+    PermitBroker m_permits;
     Registration m_registration;
     std::uint64_t m_incarnation;
     std::uint32_t m_digestSequence = 0;
--- a/src/gateway/peerdatagram.h
+++ b/src/gateway/peerdatagram.h
@@ -16,6 +16,9 @@
 enum class DatagramKind : std::uint8_t {
     EndpointListUpdate = 2,
     Digest = 3,
+    PermitQuestion = 4,
+    PermitAnswer = 5,
+    LimitNotice = 6,
 };
 
 /** Size of the largest datagram that is sent or received. */
--- a/src/gateway/peerlink.cpp
+++ b/src/gateway/peerlink.cpp
@@ -77,6 +77,14 @@
         if (m_view.isLive(sender)) {
             m_listener.endpointListUpdateReceived(*update);
         }
+    } else if (const auto question = decodePermitQuestion(bytes, now)) {
+        m_listener.permitQuestionReceived(*question, sender);
+    } else if (const auto answer = decodePermitAnswer(bytes, now)) {
+        m_listener.permitAnswerReceived(*answer);
+    } else if (const auto limit = decodeLimitNotice(bytes, now)) {
+        if (m_view.isLive(sender)) {
+            m_listener.endpointLimitReceived(*limit);
+        }
     }
 }
 
--- a/src/gateway/peerlink.h
+++ b/src/gateway/peerlink.h
@@ -6,6 +6,7 @@
 
 #include "endpointlist.h"
 #include "peerview.h"
+#include "permitmessages.h"
 
 #include "transport/eventloop.h"
 
@@ -23,6 +24,9 @@
     virtual ~PeerLinkListener() = default;
     virtual void digestReceived(const PeerDigest &digest) = 0;
     virtual void endpointListUpdateReceived(const EndpointListUpdate &update) = 0;
+    virtual void permitQuestionReceived(const PermitQuestion &question, const Address &from) = 0;
+    virtual void permitAnswerReceived(const PermitAnswer &answer) = 0;
+    virtual void endpointLimitReceived(const EndpointLimit &limit) = 0;
 };
 
 class PeerLink : private SocketHandler
@@ -42,12 +46,12 @@
     void start();
     /** Sends the datagram to all live peers immediately. */
     void broadcast(const std::string &bytes);
+    void send(const std::string &bytes, const Address &to);
 
 private:
     void socketReady(int modes) override;
     void handleDatagram(const std::string &bytes, const Address &sender);
     void sendRound();
-    void send(const std::string &bytes, const Address &to);
 
     EventLoop &m_loop;
     Poco::Net::DatagramSocket m_socket;
--- a/src/gateway/peerview.cpp
+++ b/src/gateway/peerview.cpp
@@ -34,7 +34,9 @@
     m_peers[digest.name] = {digest, from, now};
     addRequests(digest, 1);
     m_contacts.erase(from);
-    return known == m_peers.end();
+    const bool isNew = known == m_peers.end();
+    m_membersVersion += isNew ? 1 : 0;
+    return isNew;
 }
 
 void PeerView::addRequests(const PeerDigest &digest, int sign)
@@ -49,10 +51,10 @@
     }
 }
 
-void PeerView::addContact(const Address &address, TimePoint now)
+void PeerView::addContact(const std::string &name, const Address &address, TimePoint now)
 {
-    if (!isLive(address)) {
-        m_contacts.emplace(address, now);
+    if (name != m_ownName && !isLive(address) && m_contacts.emplace(address, Contact{name, now}).second) {
+        ++m_membersVersion;
     }
 }
 
@@ -66,11 +68,13 @@
         }
         expired.push_back(it->first);
         addRequests(it->second.digest, -1);
-        m_contacts.emplace(it->second.address, now);
+        m_contacts.emplace(it->second.address, Contact{it->first, now});
         it = m_peers.erase(it);
     }
     for (auto it = m_contacts.begin(); it != m_contacts.end();) {
-        it = now - it->second >= CONTACT_RETENTION ? m_contacts.erase(it) : std::next(it);
+        const bool isOutdated = now - it->second.since >= CONTACT_RETENTION;
+        m_membersVersion += isOutdated ? 1 : 0;
+        it = isOutdated ? m_contacts.erase(it) : std::next(it);
     }
     return expired;
 }
@@ -84,6 +88,29 @@
     return out;
 }
 
+std::vector<std::string> PeerView::members() const
+{
+    std::set<std::string> out;
+    for (const auto &[name, peer] : m_peers) {
+        out.insert(name);
+    }
+    for (const auto &[address, contact] : m_contacts) {
+        out.insert(contact.name);
+    }
+    return std::vector<std::string>(out.begin(), out.end());
+}
+
+std::optional<Address> PeerView::addressOf(const std::string &name) const
+{
+    const auto live = m_peers.find(name);
+    if (live != m_peers.end()) {
+        return live->second.address;
+    }
+    const auto contact = std::find_if(
+        m_contacts.begin(), m_contacts.end(), [&name](const auto &item) { return item.second.name == name; });
+    return contact == m_contacts.end() ? std::nullopt : std::optional<Address>(contact->first);
+}
+
 bool PeerView::isLive(const Address &address) const
 {
     return std::any_of(
@@ -94,7 +121,7 @@
 {
     const auto live = liveAddresses();
     std::set<Address> out(live.begin(), live.end());
-    for (const auto &[address, since] : m_contacts) {
+    for (const auto &[address, contact] : m_contacts) {
         out.insert(address);
     }
     return std::vector<Address>(out.begin(), out.end());
--- a/src/gateway/peerview.h
+++ b/src/gateway/peerview.h
@@ -8,6 +8,7 @@
 #include "timepoint.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -34,8 +35,8 @@
 
     /** Applies a digest unless a newer one of the peer was received before. Returns whether the peer is new. */
     bool apply(const PeerDigest &digest, const Address &from, TimePoint now);
-    /** Adds an address to which digests are sent for CONTACT_RETENTION, or longer once it sends digests itself. */
-    void addContact(const Address &address, TimePoint now);
+    /** Adds a gateway to which digests are sent for CONTACT_RETENTION, or longer once it sends digests itself. */
+    void addContact(const std::string &name, const Address &address, TimePoint now);
     /** Removes peers that sent no digest for PEER_TIMEOUT and returns their names. */
     std::vector<std::string> expire(TimePoint now);
 
@@ -46,6 +47,14 @@
     /** All addresses to which digests are sent, in a fixed order. */
     std::vector<Address> addresses() const;
     std::vector<Address> liveAddresses() const;
+    /** The names of all other gateways, live ones and contacts. */
+    std::vector<std::string> members() const;
+    /** Changes whenever members() may have changed. */
+    std::uint64_t membersVersion() const
+    {
+        return m_membersVersion;
+    }
+    std::optional<Address> addressOf(const std::string &name) const;
     /** Whether a live peer has that address. */
     bool isLive(const Address &address) const;
     /** The highest version of the configuration that a live peer applies; 0 without peers. */
@@ -66,8 +75,14 @@
     std::map<std::string, Peer> m_peers;
     /** Sums over the digests of m_peers. */
     std::unordered_map<std::uint32_t, PeerLoad> m_loads;
-    /** Addresses without a live peer to which digests are sent, with the time since when. */
-    std::map<Address, TimePoint> m_contacts;
+    struct Contact
+    {
+        std::string name;
+        TimePoint since;
+    };
+    /** Addresses without a live peer to which digests are sent. */
+    std::map<Address, Contact> m_contacts;
+    std::uint64_t m_membersVersion = 1;
 };
 
 }
--- a/src/gateway/registration.cpp
+++ b/src/gateway/registration.cpp
@@ -20,7 +20,7 @@
 }
 
 Registration::Registration(EventLoop &loop, const StoreCodec &codec, const Address &store, std::string name,
-    Address ownAddress, std::function<void(const Address &)> peerFound)
+    Address ownAddress, std::function<void(const std::string &, const Address &)> peerFound)
     : m_loop(loop)
     , m_codec(codec)
     , m_call(std::make_unique<StoreCall>(loop, codec, store))
@@ -110,7 +110,7 @@
                 for (const auto &item : m_codec.decodePage(response.body).items) {
                     const Address address = addressFromString(item.value);
                     if (!(address == m_ownAddress)) {
-                        m_peerFound(address);
+                        m_peerFound(item.key.substr(item.key.rfind('/') + 1), address);
                     }
                 }
             }
--- a/src/gateway/registration.h
+++ b/src/gateway/registration.h
@@ -26,9 +26,9 @@
      * the list only restores contact after lost datagrams or network partitions. */
     static constexpr Duration LIST_INTERVAL = milliseconds(15000);
 
-    /** `peerFound` is called with the address of each other gateway in the store's list. */
+    /** `peerFound` is called with the name and address of each other gateway in the store's list. */
     Registration(EventLoop &loop, const StoreCodec &codec, const Address &store, std::string name, Address ownAddress,
-        std::function<void(const Address &)> peerFound);
+        std::function<void(const std::string &, const Address &)> peerFound);
     ~Registration();
 
     void start();
@@ -55,7 +55,7 @@
     std::unique_ptr<StoreCall> m_call;
     std::string m_name;
     Address m_ownAddress;
-    std::function<void(const Address &)> m_peerFound;
+    std::function<void(const std::string &, const Address &)> m_peerFound;
     std::uint64_t m_leaseId = 0;
     TimePoint m_listedAt;
     EventLoop::Timer m_timer;
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -27,6 +27,9 @@
 constexpr int EVENT_GAPS_UNTIL_LOST = 3;
 /** A plain repeatable request without a response after its objective divided by this is sent to another endpoint. */
 constexpr int RESPONSE_TIMEOUT_DIVISOR = 2;
+/** Permits that a request asks for without waiting, before it asks for one that it waits for. Each takes a round trip.
+ */
+constexpr int MAX_PERMITS_ASKED = 4;
 /** Few streams last longer, even where their route's timeout allows it. */
 constexpr Duration TYPICAL_MAX_STREAM_DURATION = milliseconds(5000);
 
@@ -48,6 +51,7 @@
 {
     m_gateway.loop().cancel(m_deadlineTimer);
     m_gateway.loop().cancel(m_responseTimer);
+    m_gateway.loop().cancel(m_permitTimer);
 }
 
 void RequestFlow::start()
@@ -117,32 +121,137 @@
     return m_deadline - m_gateway.loop().now();
 }
 
-void RequestFlow::sendToEndpoint()
+std::vector<PlacementCandidate> RequestFlow::candidates()
 {
-    const TimePoint now = m_gateway.loop().now();
-    const PromptTraits *prompt = m_traits.prompt ? &*m_traits.prompt : nullptr;
-    std::vector<PlacementCandidate> candidates;
+    std::vector<PlacementCandidate> out;
     for (const EndpointRecord *record : m_gateway.endpoints().usable(m_service)) {
         if (m_triedEndpoints.count(record->id) == 0) {
-            candidates.push_back(
+            out.push_back(
                 {record, &m_gateway.statistics(record->id), m_gateway.peers().loadAt(endpointHash(record->id))});
         }
     }
-    while (!candidates.empty()) {
-        const Placement placement = m_gateway.placement().choose(candidates, prompt, m_gateway.randomFraction(), now);
+    return out;
+}
+
+void RequestFlow::sendToEndpoint()
+{
+    const TimePoint now = m_gateway.loop().now();
+    const PromptTraits *prompt = m_traits.prompt ? &*m_traits.prompt : nullptr;
+    std::vector<PlacementCandidate> remaining = candidates();
+    const auto remove = [&remaining](const auto &isRemoved) {
+        remaining.erase(std::remove_if(remaining.begin(), remaining.end(), isRemoved), remaining.end());
+    };
+    remove([&](const PlacementCandidate &candidate) {
+        const EndpointLimit *limit = limitOf(*candidate.record);
+        return limit != nullptr
+            && (m_permitsAsked >= MAX_PERMITS_ASKED || now < m_gateway.permits().deniedUntil(limit->endpoint));
+    });
+    while (!remaining.empty()) {
+        const Placement placement = m_gateway.placement().choose(remaining, prompt, m_gateway.randomFraction(), now);
         if (refuseIfOverloaded(placement)) {
             return;
         }
-        auto connection = m_gateway.pool().acquire(*placement.endpoint, m_gateway.connectionLimit(m_service));
-        if (connection) {
-            startAttempt(placement, std::move(connection));
+        if (limitOf(*placement.endpoint) != nullptr) {
+            askPermit(*placement.endpoint, {}, false);
+            return;
+        }
+        if (trySend(placement)) {
+            return;
+        }
+        remove([&placement](const PlacementCandidate &candidate) { return candidate.record == placement.endpoint; });
+    }
+    if (!waitForPermit()) {
+        giveUp(AttemptOutcome::NotSent,
+            m_triedEndpoints.empty() ? GatewayRefusal::NoEndpoint : GatewayRefusal::NotReached);
+    }
+}
+
+bool RequestFlow::trySend(const Placement &placement)
+{
+    auto connection = m_gateway.pool().acquire(*placement.endpoint, m_gateway.connectionLimit(m_service));
+    if (!connection) {
+        return false;
+    }
+    startAttempt(placement, std::move(connection));
+    return true;
+}
+
+const EndpointLimit *RequestFlow::limitOf(const EndpointRecord &endpoint) const
+{
+    return m_gateway.permits().hasLimits() ? m_gateway.permits().limit(endpoint.incarnationName()) : nullptr;
+}
+
+void RequestFlow::askPermit(const EndpointRecord &endpoint, Duration maxWait, bool isLastChoice)
+{
+    ++m_permitsAsked;
+    m_permitEndpoint = endpoint.id;
+    m_isLastPermit = isLastChoice;
+    m_gateway.permits().ask(*limitOf(endpoint), maxWait, isLastChoice,
+        [reference = m_gateway.reference(this)](const PermitDecision &decision) {
+            if (const auto flow = reference.lock()) {
+                flow->permitDecided(decision);
+            }
+        });
+}
+
+bool RequestFlow::waitForPermit()
+{
+    const EndpointRecord *earliest = nullptr;
+    TimePoint earliestAt = TimePoint::max();
+    for (const PlacementCandidate &candidate : candidates()) {
+        const EndpointLimit *limit = limitOf(*candidate.record);
+        const TimePoint freeAt = limit == nullptr ? earliestAt : m_gateway.permits().deniedUntil(limit->endpoint);
+        if (freeAt < earliestAt) {
+            earliest = candidate.record;
+            earliestAt = freeAt;
+        }
+    }
+    if (earliest == nullptr || m_isLastPermit) {
+        return false;
+    }
+    // A response is of full use until the route's objective, counted from the request.
+    const Duration untilObjective = m_request.receivedAt + m_admitted.route->objective - m_gateway.loop().now();
+    askPermit(*earliest, std::max(Duration(), std::min(untilObjective, timeLeft() / 2)), true);
+    return true;
+}
+
+void RequestFlow::permitDecided(const PermitDecision &decision)
+{
+    if (m_finished) {
+        return;
+    }
+    if (const auto *granted = std::get_if<PermitGranted>(&decision)) {
+        m_permitWait = granted->wait;
+        if (granted->wait > Duration()) {
+            m_permitTimer = m_gateway.loop().callAfter(granted->wait, [this] { sendWithPermit(); });
+        } else {
+            sendWithPermit();
+        }
+        return;
+    }
+    if (!m_isLastPermit) {
+        sendToEndpoint();
+    } else if (m_mayHaveRun || m_callerResponse.isStreamStarted()) {
+        giveUp(AttemptOutcome::NotRun, GatewayRefusal::LimitReached);
+    } else {
+        refuse(GatewayRefusal::LimitReached, std::get<PermitDenied>(decision).retryAfter);
+    }
+}
+
+void RequestFlow::sendWithPermit()
+{
+    for (const PlacementCandidate &candidate : candidates()) {
+        if (candidate.record->id != m_permitEndpoint) {
+            continue;
+        }
+        const PromptTraits *prompt = m_traits.prompt ? &*m_traits.prompt : nullptr;
+        if (trySend(m_gateway.placement().choose(
+                {candidate}, prompt, m_gateway.randomFraction(), m_gateway.loop().now()))) {
             return;
         }
-        candidates.erase(std::remove_if(candidates.begin(), candidates.end(),
-                             [&placement](const auto &item) { return item.record == placement.endpoint; }),
-            candidates.end());
     }
-    giveUp(AttemptOutcome::NotSent, m_triedEndpoints.empty() ? GatewayRefusal::NoEndpoint : GatewayRefusal::NotReached);
+    // The endpoint has gone meanwhile, or no connection is free; the permit is lost.
+    sendToEndpoint();
 }
 
 bool RequestFlow::refuseIfOverloaded(const Placement &placement)
@@ -273,6 +382,7 @@
     if (m_responseTraits.load) {
         m_gateway.statistics(m_endpoint.id).noteLoad(*m_responseTraits.load, now);
     }
+    noteLimit();
     const std::string *type = head.fields.find("Content-Type");
     m_isEventStream = isSuccess(head.status) && type != nullptr && type->rfind("text/event-stream", 0) == 0;
     // Only an endpoint's own response has the seal, unless it states that it didn't run the request. Any other status,
@@ -283,6 +393,19 @@
     }
 }
 
+void RequestFlow::noteLimit()
+{
+    const bool isFromEndpoint = m_responseTraits.hasServerSeal || m_responseTraits.isNotExecuted;
+    if (!isFromEndpoint || m_responseTraits.isOtherInstance) {
+        return;
+    }
+    if (m_responseTraits.isLimitUnreadable) {
+        LogEvent("endpoint_limit_unreadable", LogEvent::Level::Warning).field("endpoint", m_endpoint.id);
+        return;
+    }
+    m_gateway.permits().noteResponse(m_incarnation, m_responseTraits.limitPerSecond, m_sentAt);
+}
+
 void RequestFlow::bodyReceived(std::string piece)
 {
     m_lastActivityAt = m_gateway.loop().now();
@@ -630,6 +753,8 @@
             .field("expected_ms", static_cast<long long>(m_placement.expectedMs))
             .field("estimate_factor_pct", static_cast<long long>(100 * m_gateway.estimateCorrection().factor(now)))
             .field("prefill_tokens", m_placement.prefillTokens)
+            .field("permits_asked", m_permitsAsked)
+            .field("permit_wait_ms", toMilliseconds(m_permitWait))
             .field("home", m_placement.isHomeEndpoint ? 1 : 0)
             .field("long_answer_endpoints", static_cast<long long>(m_placement.longAnswerEndpoints));
     }
@@ -655,6 +780,7 @@
     }
     m_finished = true;
     m_gateway.loop().cancel(m_deadlineTimer);
+    m_gateway.loop().cancel(m_permitTimer);
     if (m_isDemandCounted) {
         m_gateway.placement().noteEnded(*m_traits.prompt);
     }
--- a/src/gateway/requestflow.h
+++ b/src/gateway/requestflow.h
@@ -5,7 +5,9 @@
 
 #include "admitrequest.h"
 #include "callerresponse.h"
+#include "endpointlimit.h"
 #include "eventsplitter.h"
+#include "permitdecision.h"
 #include "placement.h"
 #include "resendpolicy.h"
 
@@ -41,6 +43,19 @@
 
     void admit();
     void sendToEndpoint();
+    /** The usable endpoints of the service that haven't been tried. */
+    std::vector<PlacementCandidate> candidates();
+    /** Sends the request to the endpoint that `placement` names, if a connection is free. */
+    bool trySend(const Placement &placement);
+    /** The limit of an endpoint, or null if it has none. */
+    const EndpointLimit *limitOf(const EndpointRecord &endpoint) const;
+    /** Asks for a permit to send the request to the endpoint, which has a limit. */
+    void askPermit(const EndpointRecord &endpoint, Duration maxWait, bool isLastChoice);
+    /** Asks for a permit that the request waits for, at the endpoint that is expected to have one first. Returns false
+     * if no endpoint has a limit. */
+    bool waitForPermit();
+    void permitDecided(const PermitDecision &decision);
+    void sendWithPermit();
     /** Refuses the request and returns true when its first event is expected too late to be of use. */
     bool refuseIfOverloaded(const Placement &placement);
     void startAttempt(const Placement &placement, std::unique_ptr<HttpClientConnection> connection);
@@ -49,6 +64,9 @@
     void deadlineReached();
     void callerDisconnected();
 
+    /** Notes what the response states about the limit of its endpoint. */
+    void noteLimit();
+
     void forwardEvents(const std::string &piece);
     void forwardEvent(const std::string &event);
     void handleFirstResponseByte();
@@ -126,6 +144,13 @@
     bool m_mayHaveRun = false;
     EventSplitter m_splitter;
     std::string m_lastEventId;
+    /** Id of the endpoint for which a permit was asked. */
+    std::string m_permitEndpoint;
+    int m_permitsAsked = 0;
+    /** Whether the request waits for the last permit that is asked for; without it, it is refused. */
+    bool m_isLastPermit = false;
+    Duration m_permitWait{};
+    EventLoop::Timer m_permitTimer;
     /** Name of the check at admission that the request failed, or null. */
     const char *m_failedCheck = nullptr;
     /** Why a stream was aborted after events had been delivered. */
--- a/src/gateway/requesttraits.h
+++ b/src/gateway/requesttraits.h
@@ -64,6 +64,10 @@
     /** Whether the endpoint states that the request was meant for another one. */
     bool isOtherInstance = false;
     std::optional<EndpointLoad> load;
+    /** Requests per second that the endpoint accepts from all gateways together; empty if it states no limit. */
+    std::optional<double> limitPerSecond;
+    /** Whether the response states a limit that can't be read. */
+    bool isLimitUnreadable = false;
     /** How long the endpoint keeps an idle connection open. */
     std::optional<Duration> keepAlive;
 };
--- a/test/performance/capacity.cpp
+++ b/test/performance/capacity.cpp
@@ -6,6 +6,9 @@
 #include "clock.h"
 #include "entrycore.h"
 #include "fixtures.h"
+#include "gateway/permitbucket.h"
+#include "gateway/permitmessages.h"
+#include "gateway/permitowners.h"
 #include "rendezvoushash.h"
 #include "wire.h"
 
@@ -236,8 +239,39 @@
 
 }
 
+/** One permit: the asker's choice of the owner and its question, the owner's check and decision, and the answer. */
+void measurePermits()
+{
+    std::vector<std::pair<double, double>> times;
+    for (const int gateways : {12, 47, 94, 370}) {
+        std::vector<std::string> names;
+        for (int i = 0; i < gateways; ++i) {
+            names.push_back("front-" + std::to_string(i));
+        }
+        PermitOwners owners("front-own");
+        owners.setMembers(names);
+        PermitBucket bucket(200, at(0));
+        const PermitQuestion question{1, "front-1", {"0a1b2c3d", 200.0, at(0)}, {}, false, false};
+        const auto onePermit = [&] {
+            owners.owners(question.limit.endpoint, at(5000));
+            const auto received = decodePermitQuestion(encodePermitQuestion(question, at(5000)), at(5000));
+            owners.owners(received->limit.endpoint, at(5000));
+            const PermitAnswer answer{received->id, "front-own", bucket.take(200, {}, false, at(5000)), question.limit};
+            decodePermitAnswer(encodePermitAnswer(answer, at(5000)), at(5000));
+        };
+        times.emplace_back(gateways, microsecondsOf(onePermit, DECISIONS));
+    }
+    report("one permit at both gateways, us by gateways", "us", times);
+    const PermitQuestion question{1, "front-ljubljana-a-1", {"0a1b2c3d", 200.0, at(0)}, {}, false, false};
+    const PermitAnswer answer{1, "front-ljubljana-a-1", PermitGranted{}, question.limit};
+    std::cout << "permit question " << encodePermitQuestion(question, at(0)).size() << " bytes, answer "
+              << encodePermitAnswer(answer, at(0)).size() << ", notice "
+              << encodeLimitNotice(question.limit, at(0)).size() << '\n';
+}
+
 int main()
 {
+    measurePermits();
     std::cout << std::setprecision(4);
     measureConfiguration();
     measureEntry();
