--- a/src/crashquarantine.cpp
+++ b/src/crashquarantine.cpp
@@ -85,8 +85,7 @@
         && found->second.lostAt < sentAt && sentAt - found->second.lostAt < END_SPREAD;
 }
 
-bool CrashQuarantine::wasSilentBefore(
-    const std::string &endpoint, TimePoint sentAt, std::uint64_t fingerprint) const
+bool CrashQuarantine::wasSilentBefore(const std::string &endpoint, TimePoint sentAt, std::uint64_t fingerprint) const
 {
     const auto found = m_liveness.find(endpoint);
     if (found != m_liveness.end() && found->second.lostAt > found->second.respondedAt
@@ -95,10 +94,9 @@
     }
     const auto silentRequests = std::count_if(m_suspects.begin(), m_suspects.end(), [&](const auto &item) {
         const auto &crashes = item.second.crashes;
-        return item.first != fingerprint
-            && std::any_of(crashes.begin(), crashes.end(), [&](const Crash &crash) {
-                   return crash.endpoint == endpoint && crash.countsFrom < sentAt && !hasRespondedSince(crash);
-               });
+        return item.first != fingerprint && std::any_of(crashes.begin(), crashes.end(), [&](const Crash &crash) {
+            return crash.endpoint == endpoint && crash.countsFrom < sentAt && !hasRespondedSince(crash);
+        });
     });
     return silentRequests >= MIN_SILENT_REQUESTS;
 }
@@ -214,9 +212,8 @@
         const bool mayBeCause
             = fingerprint != report.fingerprint && suspect.crashes.size() >= static_cast<std::size_t>(crashCount);
         return mayBeCause && crashes(fingerprint, now) >= crashCount
-            && std::any_of(suspect.crashes.begin(), suspect.crashes.end(), [&](const Crash &crash) {
-                   return counts(crash, now) && isSameCrash(reported, crash);
-               });
+            && std::any_of(suspect.crashes.begin(), suspect.crashes.end(),
+                [&](const Crash &crash) { return counts(crash, now) && isSameCrash(reported, crash); });
     });
 }
 
