The blocking HTTP client gives up a response without end

A body without end was collected until memory was used up, since its size was checked only after all of it had been read. It is given up after 64 MB now and its connection closed.

--- a/src/httpexchange.cpp
+++ b/src/httpexchange.cpp
@@ -9,7 +9,6 @@
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
-#include <Poco/StreamCopier.h>
 
 namespace Cyclamenturn
 {
@@ -18,7 +17,20 @@
 {
 
 /** Maximum size of a response body that is read into memory. */
-constexpr std::streamsize MAX_RESPONSE_BYTES = 64 << 20;
+constexpr std::size_t MAX_RESPONSE_BYTES = 64 << 20;
+
+/** Reads up to MAX_RESPONSE_BYTES. Returns false if the stream goes on after them. */
+bool readBody(std::istream &stream, std::string &body)
+{
+    char bytes[16384];
+    while (stream.read(bytes, sizeof(bytes)), stream.gcount() > 0) {
+        body.append(bytes, static_cast<std::size_t>(stream.gcount()));
+        if (body.size() > MAX_RESPONSE_BYTES) {
+            return false;
+        }
+    }
+    return true;
+}
 
 Poco::Timespan timespan(Duration duration)
 {
@@ -120,12 +132,13 @@
 {
     HttpResponse response = begin(request);
     try {
-        const auto length = Poco::StreamCopier::copyToString(*m_stream, response.body);
-        const bool truncated = m_stream->bad() || length > MAX_RESPONSE_BYTES;
+        const bool isTooLong = !readBody(*m_stream, response.body);
+        const bool truncated = m_stream->bad() || isTooLong;
         const auto contentLength = response.headers.find("Content-Length");
         if (truncated
             || (contentLength != response.headers.end()
                 && std::to_string(response.body.size()) != contentLength->second)) {
+            m_session->reset();
             throw ExchangeBrokenError(toString(m_address) + ": response body truncated or too long");
         }
     } catch (const Poco::Exception &error) {
