Responses without end are cut off, and their endpoints passed over

Seen in tests of our own: a gateway read 64 MB and more of interim responses, of responses to other requests, of a line between two chunks, and of bytes on an idle connection, until the endpoint or the caller gave up; 48 bodies without end took 93 MB of memory at once, on VMs of 96 MB; and an event without end was searched again from its start with each piece.

Bytes on an idle connection close it at once.

Unit tests and the fuzz test cover the parser and the splitter of events.

--- a/src/gateway/connectionpool.cpp
+++ b/src/gateway/connectionpool.cpp
@@ -22,11 +22,25 @@
 
 }
 
-ConnectionPool::ConnectionPool(EventLoop &loop)
+ConnectionPool::ConnectionPool(EventLoop &loop, std::function<void(const std::string &)> unexpectedData)
     : m_loop(loop)
+    , m_unexpectedData(std::move(unexpectedData))
 {
 }
 
+void ConnectionPool::unexpectedDataReceived(const std::string &endpointId)
+{
+    const auto found = m_endpoints.find(endpointId);
+    if (found != m_endpoints.end()) {
+        auto &idle = found->second.idle;
+        const auto unusable
+            = std::remove_if(idle.begin(), idle.end(), [](const auto &item) { return item.connection->isUnusable(); });
+        found->second.open -= static_cast<int>(std::distance(unusable, idle.end()));
+        idle.erase(unusable, idle.end());
+    }
+    m_unexpectedData(endpointId);
+}
+
 std::unique_ptr<HttpClientConnection> ConnectionPool::acquire(const EndpointRecord &record, int limit)
 {
     Endpoint &endpoint = m_endpoints[record.id];
@@ -54,6 +68,7 @@
         --endpoint.open;
         return;
     }
+    connection->setUnexpectedDataHandler([this, endpointId] { unexpectedDataReceived(endpointId); });
     endpoint.idle.push_back({std::move(connection), m_loop.now() + idleTimeout - IDLE_MARGIN});
     if (endpoint.idle.size() > MAX_IDLE_PER_ENDPOINT) {
         closeOldestIdle(endpoint);
--- a/src/gateway/connectionpool.h
+++ b/src/gateway/connectionpool.h
@@ -18,7 +18,9 @@
 class ConnectionPool
 {
 public:
-    explicit ConnectionPool(EventLoop &loop);
+    /** `unexpectedData` is called with the id of an endpoint that sent bytes without a request, after the connection
+     * was closed. */
+    ConnectionPool(EventLoop &loop, std::function<void(const std::string &endpointId)> unexpectedData);
 
     /** Returns an idle connection or a new one; null when `limit` connections to the endpoint are already open. */
     std::unique_ptr<HttpClientConnection> acquire(const EndpointRecord &endpoint, int limit);
@@ -51,7 +53,10 @@
     };
     void closeOldestIdle(Endpoint &endpoint);
 
+    void unexpectedDataReceived(const std::string &endpointId);
+
     EventLoop &m_loop;
+    std::function<void(const std::string &)> m_unexpectedData;
     std::map<std::string, Endpoint> m_endpoints;
     std::uint64_t m_opened = 0;
 };
--- a/src/gateway/endpointstatistics.cpp
+++ b/src/gateway/endpointstatistics.cpp
@@ -94,6 +94,7 @@
     case EndpointResult::NotConnected:
     case EndpointResult::ConnectionLost:
     case EndpointResult::NoResponse:
+    case EndpointResult::Unbounded:
         m_attempts += 1;
         m_failures += 1;
         suspect(now);
--- a/src/gateway/endpointstatistics.h
+++ b/src/gateway/endpointstatistics.h
@@ -27,6 +27,8 @@
     ConnectionLost,
     /** No response, or no further event, within the time that the route allows. */
     NoResponse,
+    /** The endpoint sent more than any response has, or bytes without a request. */
+    Unbounded,
 };
 
 class EndpointStatistics
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -43,7 +43,7 @@
     , m_settings(settings)
     , m_messages(messages)
     , m_placement(settings.placement, settings.failureDomain)
-    , m_pool(loop)
+    , m_pool(loop, [this](const std::string &endpointId) { unexpectedDataReceived(endpointId); })
     , m_retries(settings.retries)
     , m_quarantine(CRASHES_TO_QUARANTINE, CrashQuarantine::QUARANTINE_TIME)
     , m_random(std::random_device{}())
@@ -317,6 +317,7 @@
     m_pool.expire(now);
     m_quarantine.expire(now);
     m_permits.expire();
+    m_metrics.set("cyclamenturn_response_memory_bytes", {}, static_cast<double>(m_responseMemory.used()));
     m_metrics.set("cyclamenturn_store_calls", {}, static_cast<double>(m_store.calls()));
     m_metrics.set("cyclamenturn_endpoint_connections_opened", {}, static_cast<double>(m_pool.opened()));
     m_metrics.set("cyclamenturn_caller_connections", {}, static_cast<double>(m_callerServer.connectionCount()));
@@ -416,6 +417,13 @@
     }
 }
 
+void Gateway::unexpectedDataReceived(const std::string &endpointId)
+{
+    LogEvent("unexpected_data", LogEvent::Level::Warning).field("endpoint", endpointId);
+    m_metrics.count("cyclamenturn_unbounded_responses", {{"where", "idle"}});
+    m_statistics[endpointId].noteResult(EndpointResult::Unbounded, m_loop.now());
+}
+
 void Gateway::logChange(const char *event, const EndpointRecord &record) const
 {
     LogEvent(event)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -17,6 +17,7 @@
 #include "permitbroker.h"
 #include "placement.h"
 #include "registration.h"
+#include "responsememory.h"
 #include "retrywindow.h"
 #include "stopplan.h"
 #include "storelink.h"
@@ -92,6 +93,10 @@
     {
         return m_pool;
     }
+    ResponseMemory &responseMemory()
+    {
+        return m_responseMemory;
+    }
     RetryWindow &retries()
     {
         return m_retries;
@@ -167,6 +172,7 @@
     PeerDigest makeDigest();
     /** Applies the current list, just read from the store or received from a peer, to the endpoint directory. */
     void applyEndpointList();
+    void unexpectedDataReceived(const std::string &endpointId);
     void logChange(const char *event, const EndpointRecord &record) const;
     void housekeep();
     void continueStop();
@@ -185,6 +191,7 @@
     std::unordered_map<std::string, EndpointStatistics> m_statistics;
     PlacementChooser m_placement;
     ConnectionPool m_pool;
+    ResponseMemory m_responseMemory;
     RetryWindow m_retries;
     /** Observes long prompts only; other requests wait too briefly to show how far the estimates are off. */
     EstimateCorrection m_estimateCorrection;
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -52,6 +52,7 @@
     m_gateway.loop().cancel(m_deadlineTimer);
     m_gateway.loop().cancel(m_responseTimer);
     m_gateway.loop().cancel(m_permitTimer);
+    clearResponseBody();
 }
 
 void RequestFlow::start()
@@ -286,7 +287,7 @@
     m_sentAt = now;
     m_lastActivityAt = now;
     m_firstByteSeen = false;
-    m_responseBody.clear();
+    clearResponseBody();
     m_splitter.clear();
     m_triedEndpoints.insert(m_endpoint.id);
     ++m_sends;
@@ -416,9 +417,30 @@
         forwardEvents(piece);
         return;
     }
+    if (!m_gateway.responseMemory().tryReserve(m_responseBody.size(), piece.size())) {
+        abandonResponse("body_memory");
+        return;
+    }
     m_responseBody += piece;
 }
 
+void RequestFlow::clearResponseBody()
+{
+    m_gateway.responseMemory().release(m_responseBody.size());
+    std::string().swap(m_responseBody);
+}
+
+void RequestFlow::abandonResponse(const char *where)
+{
+    LogEvent("response_abandoned", LogEvent::Level::Warning)
+        .field("request", m_traits.attemptId)
+        .field("endpoint", m_endpoint.id)
+        .field("where", where)
+        .field("after_ms", toMilliseconds(m_gateway.loop().now() - m_sentAt));
+    m_gateway.metrics().count("cyclamenturn_unbounded_responses", {{"where", where}});
+    attemptFailed(AttemptOutcome::ResponseLost, EndpointResult::Unbounded, GatewayRefusal::EndpointMalformed);
+}
+
 void RequestFlow::forwardEvents(const std::string &piece)
 {
     for (const auto &event : m_splitter.add(piece)) {
@@ -427,6 +449,10 @@
             return;
         }
     }
+    if (m_splitter.isTooLong()) {
+        abandonResponse("event");
+        return;
+    }
     startResponseTimer(responseTimeout());
 }
 
@@ -526,6 +552,9 @@
         recordLostConnection();
         attemptFailed(AttemptOutcome::ResponseLost, EndpointResult::ConnectionLost, GatewayRefusal::EndpointLost);
         break;
+    case ExchangeFailure::TooLarge:
+        abandonResponse("message");
+        break;
     case ExchangeFailure::Malformed:
         attemptFailed(AttemptOutcome::ResponseLost, EndpointResult::FailureResponse, GatewayRefusal::EndpointMalformed);
         break;
--- a/src/gateway/requestflow.h
+++ b/src/gateway/requestflow.h
@@ -64,6 +64,10 @@
     void deadlineReached();
     void callerDisconnected();
 
+    /** Ends an attempt whose response exceeds a limit; `where` names the part. */
+    void abandonResponse(const char *where);
+    /** Discards the part of the response that was collected. */
+    void clearResponseBody();
     /** Notes what the response states about the limit of its endpoint. */
     void noteLimit();
 
--- a/src/transport/httpclientconnection.cpp
+++ b/src/transport/httpclientconnection.cpp
@@ -11,6 +11,12 @@
 
 /** Responses with a lower status code are interim responses. */
 constexpr int FIRST_FINAL_STATUS = 200;
+/** Status codes with which the parser reports an exceeded limit. */
+constexpr int BODY_TOO_LARGE = 413;
+constexpr int HEADER_TOO_LARGE = 431;
+/** A server may send a few interim or late responses before the one that is waited for. */
+constexpr std::size_t MAX_SKIPPED_RESPONSES = 16;
+constexpr std::size_t MAX_SKIPPED_BYTES = 262144;
 
 }
 
@@ -18,7 +24,7 @@
     EventLoop &loop, const Address &address, const HttpLimits &limits, Duration connectTimeout)
     : m_loop(loop)
     , m_limits(limits)
-    , m_connection(loop, address, this)
+    , m_connection(new TcpConnection(loop, address, this))
 {
     m_connectTimer = m_loop.callAfter(connectTimeout, [this] {
         m_isUnusable = true;
@@ -45,8 +51,10 @@
     m_parser.emplace(HttpParser::forResponse(m_limits, m_isHeadRequest));
     m_headHandled = false;
     m_isMismatched = false;
-    if (m_connection.isConnected()) {
-        m_connection.write(bytes);
+    m_skippedResponses = 0;
+    m_skippedBytes = 0;
+    if (isConnected()) {
+        m_connection->write(bytes);
     } else {
         m_pendingRequest = std::move(bytes);
     }
@@ -55,7 +63,7 @@
 void HttpClientConnection::connected()
 {
     m_loop.cancel(m_connectTimer);
-    m_connection.write(m_pendingRequest);
+    m_connection->write(m_pendingRequest);
     m_pendingRequest.clear();
 }
 
@@ -63,7 +71,10 @@
 {
     if (m_listener == nullptr) {
         m_isUnusable = true;
-        m_connection.input().clear();
+        m_connection.reset();
+        if (const auto handler = std::move(m_unexpectedDataHandler)) {
+            handler();
+        }
         return;
     }
     while (parseInput()) { }
@@ -75,15 +86,23 @@
     return interim || m_isMismatched;
 }
 
+bool HttpClientConnection::maySkip(std::size_t bytes, bool isDone)
+{
+    m_skippedBytes += bytes;
+    m_skippedResponses += isDone ? 1 : 0;
+    return m_skippedBytes <= MAX_SKIPPED_BYTES && m_skippedResponses <= MAX_SKIPPED_RESPONSES;
+}
+
 bool HttpClientConnection::parseInput()
 {
     const auto exchangeEnded = [this, alive = m_alive] {
         return !*alive || m_listener == nullptr;
     };
     try {
-        m_parser->consume(m_connection.input());
-    } catch (const HttpSyntaxError &) {
-        fail(ExchangeFailure::Malformed);
+        m_parser->consume(m_connection->input());
+    } catch (const HttpSyntaxError &error) {
+        const bool isTooLarge = error.status() == BODY_TOO_LARGE || error.status() == HEADER_TOO_LARGE;
+        fail(isTooLarge ? ExchangeFailure::TooLarge : ExchangeFailure::Malformed);
         return false;
     }
     if (!m_parser->isHeadDone()) {
@@ -103,12 +122,16 @@
     std::string data = m_parser->takeBody();
     const bool done = m_parser->isDone();
     if (shouldSkipResponse()) {
+        if (!maySkip(data.size(), done)) {
+            fail(ExchangeFailure::TooLarge);
+            return false;
+        }
         if (!done) {
             return false;
         }
         m_parser.emplace(HttpParser::forResponse(m_limits, m_isHeadRequest));
         m_headHandled = false;
-        return !m_connection.input().empty();
+        return !m_connection->input().empty();
     }
     if (!data.empty()) {
         m_listener->bodyReceived(std::move(data));
@@ -118,7 +141,7 @@
     }
     if (done) {
         // Bytes after the response belong to no request, so later data on this connection could not be trusted.
-        const bool reusable = m_parser->isKeepAlive() && m_connection.input().empty() && !m_isUnusable;
+        const bool reusable = m_parser->isKeepAlive() && m_connection->input().empty() && !m_isUnusable;
         ExchangeListener *listener = m_listener;
         m_listener = nullptr;
         listener->exchangeDone(reusable);
@@ -133,7 +156,7 @@
     if (m_listener == nullptr) {
         return;
     }
-    if (!m_connection.isConnected()) {
+    if (!isConnected()) {
         fail(reason == DisconnectReason::Refused ? ExchangeFailure::Refused : ExchangeFailure::NotConnected);
         return;
     }
--- a/src/transport/httpclientconnection.h
+++ b/src/transport/httpclientconnection.h
@@ -7,6 +7,7 @@
 #include "httpparser.h"
 #include "tcpconnection.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -23,6 +24,8 @@
     ConnectionLost,
     /** The server sent data that is not a valid HTTP response. */
     Malformed,
+    /** The response exceeds a limit of its size, or was preceded by too much that belongs to other requests. */
+    TooLarge,
 };
 
 /**
@@ -64,7 +67,13 @@
     }
     bool isConnected() const
     {
-        return m_connection.isConnected();
+        return m_connection && m_connection->isConnected();
+    }
+    /** `handler` is called when bytes are received while no request is in progress; the connection is closed then. The
+     * handler may destroy it. */
+    void setUnexpectedDataHandler(std::function<void()> handler)
+    {
+        m_unexpectedDataHandler = std::move(handler);
     }
 
 private:
@@ -77,12 +86,16 @@
      * return of false, the listener may have destroyed this object.
      */
     bool parseInput();
+    /** Counts a part of a response that is skipped. Returns false if the server sends too many of them. */
+    bool maySkip(std::size_t bytes, bool isDone);
     /** Returns whether the current response is interim (1xx) or belongs to another request. */
     bool shouldSkipResponse();
 
     EventLoop &m_loop;
     HttpLimits m_limits;
-    TcpConnection m_connection;
+    /** Null once it was closed because of unexpected bytes. */
+    std::unique_ptr<TcpConnection> m_connection;
+    std::function<void()> m_unexpectedDataHandler;
     EventLoop::Timer m_connectTimer;
     /** Request to be sent once the connection is established. */
     std::string m_pendingRequest;
@@ -93,6 +106,9 @@
     /** The current response belongs to another request. */
     bool m_isMismatched = false;
     bool m_isUnusable = false;
+    /** Responses skipped in the current exchange, and bytes of their bodies. */
+    std::size_t m_skippedResponses = 0;
+    std::size_t m_skippedBytes = 0;
     /** Set to false by the destructor, to detect that the listener has destroyed this object. */
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/src/transport/httpparser.cpp
+++ b/src/transport/httpparser.cpp
@@ -62,6 +62,7 @@
 
 public:
     BeastParser(const HttpLimits &limits, bool headOnly)
+        : m_maxUnparsedBytes(limits.headerBytes)
     {
         this->eager(true);
         this->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
@@ -88,6 +89,10 @@
             }
         }
         input.erase(0, consumed);
+        // A line between two chunks, for example, which Beast keeps until it is complete.
+        if (!this->is_done() && input.size() > m_maxUnparsedBytes) {
+            throw HttpSyntaxError("a line of the body is too long", BODY_TOO_LARGE);
+        }
     }
 
     bool finishAtEof() override
@@ -188,6 +193,8 @@
         bodyBytes += data.size();
         return data.size();
     }
+
+    std::size_t m_maxUnparsedBytes;
 };
 
 HttpParser::HttpParser(std::unique_ptr<Implementation> implementation)
--- a/test/correctness/httpparser.cpp
+++ b/test/correctness/httpparser.cpp
@@ -2,6 +2,7 @@
  * Strict HTTP parsing: messages that two servers could interpret differently are rejected.
  */
 #include "transport/httpparser.h"
+#include "gateway/eventsplitter.h"
 
 #include <catch2/catch.hpp>
 
@@ -107,3 +108,28 @@
     expected.add("Accept", "a/b");
     CHECK(endToEndFields(fields) == expected);
 }
+
+TEST_CASE("a line between chunks that doesn't end is refused at the limit of the header")
+{
+    HttpParser parser = HttpParser::forResponse({1000, 100000}, false);
+    std::string input = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;";
+    parser.consume(input);
+    input += std::string(1000 - input.size(), 'x');
+    parser.consume(input);
+    input += "x";
+    CHECK_THROWS_AS(parser.consume(input), HttpSyntaxError);
+}
+
+TEST_CASE("an event that doesn't end is reported as too long, and events across pieces are found")
+{
+    EventSplitter splitter;
+    CHECK(splitter.add("data: 1\r\n\r").empty());
+    CHECK(splitter.add("\ndata: 2\n") == std::vector<std::string>{"data: 1\r\n\r\n"});
+    CHECK(splitter.add("\nrest") == std::vector<std::string>{"data: 2\n\n"});
+    CHECK(splitter.rest() == "rest");
+    splitter.clear();
+    splitter.add(std::string(EventSplitter::MAX_EVENT_BYTES, 'x'));
+    CHECK_FALSE(splitter.isTooLong());
+    splitter.add("x");
+    CHECK(splitter.isTooLong());
+}
--- a/test/fuzz/parsers.cpp
+++ b/test/fuzz/parsers.cpp
@@ -8,6 +8,7 @@
 #include "errors.h"
 #include "fixtures.h"
 #include "gateway/endpointlist.h"
+#include "gateway/eventsplitter.h"
 #include "gateway/gatewaysettings.h"
 #include "gateway/peerdigest.h"
 #include "gateway/permitmessages.h"
@@ -26,7 +27,7 @@
 namespace
 {
 
-constexpr int PARSER_COUNT = 16;
+constexpr int PARSER_COUNT = 17;
 
 void admit(const std::string &text)
 {
@@ -65,6 +66,21 @@
     codec.eventId(second);
 }
 
+/** Splits the text in two pieces; aborts if bytes are lost or added. */
+void splitEvents(const std::string &text)
+{
+    EventSplitter splitter;
+    std::string out;
+    for (const auto &piece : {text.substr(0, text.size() / 2), text.substr(text.size() / 2)}) {
+        for (const auto &event : splitter.add(piece)) {
+            out += event;
+        }
+    }
+    if (out + splitter.rest() != text) {
+        std::abort();
+    }
+}
+
 void parse(int parser, const std::string &text)
 {
     switch (parser) {
@@ -115,6 +131,9 @@
         decodePermitAnswer(text, at(0));
         decodeLimitNotice(text, at(0));
         break;
+    case 15:
+        splitEvents(text);
+        break;
     default:
         admit(text);
         break;
