--- a/src/crashquarantine.cpp
+++ b/src/crashquarantine.cpp
@@ -316,6 +316,7 @@
         }
     }
     std::vector<EndpointSighting> out;
+    out.reserve(seen.size());
     for (const auto &[endpoint, sentAt] : seen) {
         out.push_back({endpoint, sentAt});
     }
--- a/src/gateway/permitbroker.cpp
+++ b/src/gateway/permitbroker.cpp
@@ -245,7 +245,8 @@
         it = it->second < now ? m_deniedUntil.erase(it) : std::next(it);
     }
     for (auto it = m_buckets.begin(); it != m_buckets.end();) {
-        it = m_limits.find(it->first) == nullptr ? m_buckets.erase(it) : std::next(it);
+        const bool hasLimit = m_limits.find(it->first) != nullptr;
+        it = hasLimit ? std::next(it) : m_buckets.erase(it);
     }
 }
 
