Retry-After at a limit is the time at which a permit is expected, not the end of a queue of callers who won't return

Callers saw: under a limit of 2 a second and 150 refused requests, Retry-After reached 62 s, while the next permit was half a second away. Cause: each refused caller reserved a time of its own, also those whose deadline is long over by then.

A caller reserves a time only if it can come back then: callers wait up to a third of the time that they have left. Those who can't are told the same time, which is true, and delay nobody.

--- a/src/gateway/permitbroker.cpp
+++ b/src/gateway/permitbroker.cpp
@@ -100,18 +100,18 @@
     }
 }
 
-void PermitBroker::ask(const EndpointLimit &limit, Duration maxWait, bool isPromised, Handler handler)
+void PermitBroker::ask(const EndpointLimit &limit, Duration maxWait, Duration returnsWithin, Handler handler)
 {
     PermitQuestion question;
     question.asker = m_ownName;
     question.limit = limit;
     question.maxWait = maxWait;
-    question.isPromised = isPromised;
+    question.returnsWithin = returnsWithin;
     askOwner(std::move(question),
-        [this, endpoint = limit.endpoint, isPromised, handler = std::move(handler)](const auto &decision) {
+        [this, endpoint = limit.endpoint, returnsWithin, handler = std::move(handler)](const auto &decision) {
             const auto *denied = std::get_if<PermitDenied>(&decision);
             m_metrics.count("cyclamenturn_permits_asked", {{"outcome", denied != nullptr ? "denied" : "granted"}});
-            if (denied != nullptr && !isPromised) {
+            if (denied != nullptr && returnsWithin == Duration()) {
                 m_deniedUntil[endpoint] = m_loop.now() + denied->retryAfter;
             }
             handler(decision);
@@ -179,7 +179,7 @@
     }
     const auto bucket = m_buckets.try_emplace(limit->endpoint, *limit->perSecond, m_loop.now()).first;
     const PermitDecision out
-        = bucket->second.take(*limit->perSecond, question.maxWait, question.isPromised, m_loop.now());
+        = bucket->second.take(*limit->perSecond, question.maxWait, question.returnsWithin, m_loop.now());
     const bool isGranted = std::holds_alternative<PermitGranted>(out);
     m_metrics.count("cyclamenturn_permits_decided", {{"outcome", isGranted ? "granted" : "denied"}});
     return out;
--- a/src/gateway/permitbroker.h
+++ b/src/gateway/permitbroker.h
@@ -46,7 +46,7 @@
     /** When permits of the endpoint may be free again after a denial; in the past if nothing is known. */
     TimePoint deniedUntil(const std::string &endpoint) const;
     /** Asks for a permit; see PermitBucket::take(). Calls `handler` once, from the event loop. */
-    void ask(const EndpointLimit &limit, Duration maxWait, bool isPromised, Handler handler);
+    void ask(const EndpointLimit &limit, Duration maxWait, Duration returnsWithin, Handler handler);
 
     void questionReceived(const PermitQuestion &question, const Address &from);
     void answerReceived(const PermitAnswer &answer);
--- a/src/gateway/permitbucket.cpp
+++ b/src/gateway/permitbucket.cpp
@@ -25,7 +25,7 @@
 {
 }
 
-PermitDecision PermitBucket::take(double perSecond, Duration maxWait, bool isPromised, TimePoint now)
+PermitDecision PermitBucket::take(double perSecond, Duration maxWait, Duration returnsWithin, TimePoint now)
 {
     if (interval(perSecond) != m_interval) {
         m_interval = interval(perSecond);
@@ -38,12 +38,14 @@
         m_dueAt = std::max(m_dueAt, now) + m_interval;
         return PermitGranted{freeAt - now};
     }
-    if (!isPromised) {
+    if (returnsWithin == Duration()) {
         return PermitDenied{freeAt - now};
     }
     m_promisedAt = std::max(m_promisedAt, freeAt);
     const Duration retryAfter = m_promisedAt - now;
-    m_promisedAt += m_interval;
+    if (retryAfter <= returnsWithin) {
+        m_promisedAt += m_interval;
+    }
     return PermitDenied{retryAfter};
 }
 
--- a/src/gateway/permitbucket.h
+++ b/src/gateway/permitbucket.h
@@ -21,10 +21,10 @@
     PermitBucket(double perSecond, TimePoint now);
 
     /**
-     * Takes a permit that is free within `maxWait`. `isPromised` tells that a caller will be sent away and told when to
-     * come back, so that the next one is told a later time.
+     * Takes a permit that is free within `maxWait`. A caller that is sent away otherwise, and comes back if that is
+     * within `returnsWithin`, is told a time of its own; those who won't come back don't delay the next one.
      */
-    PermitDecision take(double perSecond, Duration maxWait, bool isPromised, TimePoint now);
+    PermitDecision take(double perSecond, Duration maxWait, Duration returnsWithin, TimePoint now);
 
 private:
     /** Time between two permits. */
--- a/src/gateway/permitmessages.cpp
+++ b/src/gateway/permitmessages.cpp
@@ -71,7 +71,7 @@
     Poco::BinaryWriter out(stream, Poco::BinaryWriter::NETWORK_BYTE_ORDER);
     out << static_cast<Poco::UInt8>(DatagramKind::PermitQuestion) << Poco::UInt32(question.id) << question.asker;
     writeLimit(out, question.limit, now);
-    out << wireMilliseconds(question.maxWait) << question.isPromised << question.isRelayed;
+    out << wireMilliseconds(question.maxWait) << wireMilliseconds(question.returnsWithin) << question.isRelayed;
     out.flush();
     return stream.str();
 }
@@ -81,13 +81,15 @@
     return decode<PermitQuestion>(bytes, DatagramKind::PermitQuestion, [now](Poco::BinaryReader &in, auto &out) {
         Poco::UInt32 id = 0;
         Poco::UInt32 maxWait = 0;
+        Poco::UInt32 returnsWithin = 0;
         in >> id;
         if (!readText(in, out.asker) || out.asker.empty() || !readLimit(in, out.limit, now)) {
             return false;
         }
-        in >> maxWait >> out.isPromised >> out.isRelayed;
+        in >> maxWait >> returnsWithin >> out.isRelayed;
         out.id = id;
         out.maxWait = milliseconds(maxWait);
+        out.returnsWithin = milliseconds(returnsWithin);
         return true;
     });
 }
--- a/src/gateway/permitmessages.h
+++ b/src/gateway/permitmessages.h
@@ -23,8 +23,8 @@
     EndpointLimit limit;
     /** How long the request can wait for its permit. */
     Duration maxWait{};
-    /** See PermitBucket::take(). */
-    bool isPromised = false;
+    /** Within which time the caller comes back if it is sent away; 0 if another endpoint will be tried first. */
+    Duration returnsWithin{};
     /** Whether it is passed on for another gateway. It isn't passed on again. */
     bool isRelayed = false;
 };
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -30,6 +30,8 @@
 /** Permits that a request asks for without waiting, before it asks for one that it waits for. Each takes a round trip.
  */
 constexpr int MAX_PERMITS_ASKED = 4;
+/** Callers come back after Retry-After if it is at most this part of the time that they have left. */
+constexpr int RETURN_TIME_DIVISOR = 3;
 /** Few streams last longer, even where their route's timeout allows it. */
 constexpr Duration TYPICAL_MAX_STREAM_DURATION = milliseconds(5000);
 
@@ -187,7 +189,10 @@
     ++m_permitsAsked;
     m_permitEndpoint = endpoint.id;
     m_isLastPermit = isLastChoice;
-    m_gateway.permits().ask(*limitOf(endpoint), maxWait, isLastChoice,
+    const TimePoint callerLeavesAt = m_request.receivedAt + m_traits.callerTimeout.value_or(DEFAULT_CALLER_TIMEOUT);
+    const Duration returnsWithin
+        = std::max(milliseconds(1), Duration(callerLeavesAt - m_gateway.loop().now()) / RETURN_TIME_DIVISOR);
+    m_gateway.permits().ask(*limitOf(endpoint), maxWait, isLastChoice ? returnsWithin : Duration(),
         [reference = m_gateway.reference(this)](const PermitDecision &decision) {
             if (const auto flow = reference.lock()) {
                 flow->permitDecided(decision);
--- a/test/correctness/permits.cpp
+++ b/test/correctness/permits.cpp
@@ -31,7 +31,7 @@
 {
     std::vector<TimePoint> out;
     for (TimePoint now = from; now < from + span; now += milliseconds(1)) {
-        if (isGranted(bucket.take(perSecond, {}, false, now))) {
+        if (isGranted(bucket.take(perSecond, {}, {}, now))) {
             out.push_back(now);
         }
     }
@@ -45,7 +45,7 @@
     out.asker = "front-1";
     out.limit = {"0a1b2c3d", 1.9, at(400)};
     out.maxWait = milliseconds(120);
-    out.isPromised = true;
+    out.returnsWithin = milliseconds(900);
     out.isRelayed = true;
     return out;
 }
@@ -64,7 +64,7 @@
         const auto burst = grants(bucket, perSecond, at(80000), milliseconds(1));
         CHECK(burst.size() == 1);
         int atOnce = 0;
-        while (isGranted(bucket.take(perSecond, {}, false, at(80001)))) {
+        while (isGranted(bucket.take(perSecond, {}, {}, at(80001)))) {
             ++atOnce;
         }
         CHECK(atOnce <= static_cast<int>(perSecond * 0.2) + 1);
@@ -74,38 +74,40 @@
 TEST_CASE("a new owner gives its first permit after one interval, since it doesn't know those given before")
 {
     PermitBucket bucket(2, at(0));
-    CHECK(retryAfter(bucket.take(2, {}, false, at(0))) == milliseconds(500));
-    CHECK_FALSE(isGranted(bucket.take(2, {}, false, at(499))));
-    CHECK(isGranted(bucket.take(2, {}, false, at(500))));
+    CHECK(retryAfter(bucket.take(2, {}, {}, at(0))) == milliseconds(500));
+    CHECK_FALSE(isGranted(bucket.take(2, {}, {}, at(499))));
+    CHECK(isGranted(bucket.take(2, {}, {}, at(500))));
 }
 
 TEST_CASE("a permit that is waited for is taken, and isn't given twice")
 {
     PermitBucket bucket(10, at(0));
     grants(bucket, 10, at(0), milliseconds(1000));
-    const auto waiting = bucket.take(10, milliseconds(100), false, at(950));
+    const auto waiting = bucket.take(10, milliseconds(100), {}, at(950));
     REQUIRE(isGranted(waiting));
     const Duration wait = std::get<PermitGranted>(waiting).wait;
     CHECK(wait > Duration());
     CHECK(wait <= milliseconds(100));
-    CHECK_FALSE(isGranted(bucket.take(10, {}, false, at(950) + wait)));
+    CHECK_FALSE(isGranted(bucket.take(10, {}, {}, at(950) + wait)));
 }
 
 TEST_CASE("callers that are sent away are told different times to come back")
 {
     PermitBucket bucket(2, at(0));
-    const auto first = retryAfter(bucket.take(2, {}, true, at(0)));
-    const auto second = retryAfter(bucket.take(2, {}, true, at(0)));
-    const auto third = retryAfter(bucket.take(2, {}, true, at(0)));
+    const auto first = retryAfter(bucket.take(2, {}, milliseconds(1000), at(0)));
+    const auto second = retryAfter(bucket.take(2, {}, milliseconds(1000), at(0)));
+    const auto third = retryAfter(bucket.take(2, {}, milliseconds(1000), at(0)));
     CHECK(first == milliseconds(500));
     CHECK(second == milliseconds(1000));
     CHECK(third == milliseconds(1500));
+    // The third can't wait so long and won't come back, so it takes nobody's turn.
+    CHECK(retryAfter(bucket.take(2, {}, milliseconds(1000), at(0))) == milliseconds(1500));
 }
 
 TEST_CASE("a raised limit is used at once, and a lowered one is kept at once")
 {
     PermitBucket bucket(0.5, at(0));
-    CHECK_FALSE(isGranted(bucket.take(0.5, {}, false, at(100))));
+    CHECK_FALSE(isGranted(bucket.take(0.5, {}, {}, at(100))));
     CHECK(grants(bucket, 50, at(100), milliseconds(1000)).size() >= 48);
     CHECK(grants(bucket, 1, at(1100), milliseconds(4000)).size() <= 5);
 }
@@ -202,7 +204,7 @@
     CHECK(received->asker == "front-1");
     CHECK(received->limit == EndpointLimit{"0a1b2c3d", 1.9, otherClock - milliseconds(100)});
     CHECK(received->maxWait == milliseconds(120));
-    CHECK(received->isPromised);
+    CHECK(received->returnsWithin == milliseconds(900));
     CHECK(received->isRelayed);
     for (const PermitDecision &decision :
         {PermitDecision(PermitGranted{milliseconds(7)}), PermitDecision(PermitDenied{milliseconds(800)})}) {
--- a/test/error/processes_limits.py
+++ b/test/error/processes_limits.py
@@ -57,6 +57,7 @@
         refused = [headers for status, headers in responses if status == 503]
         assert refused and len(responses) - len(refused) == sent
         wait = float(refused[-1]["Retry-After"])
+        assert wait <= 1.5, f"told to come back after {wait} s, though nobody else is waiting"
         time.sleep(wait)
         assert fleet.gateways[0].call("GET", "/plain/x")[0] == 200, f"not served after {wait} s"
 
--- a/test/performance/capacity.cpp
+++ b/test/performance/capacity.cpp
@@ -251,18 +251,18 @@
         PermitOwners owners("front-own");
         owners.setMembers(names);
         PermitBucket bucket(200, at(0));
-        const PermitQuestion question{1, "front-1", {"0a1b2c3d", 200.0, at(0)}, {}, false, false};
+        const PermitQuestion question{1, "front-1", {"0a1b2c3d", 200.0, at(0)}, {}, {}, false};
         const auto onePermit = [&] {
             owners.owners(question.limit.endpoint, at(5000));
             const auto received = decodePermitQuestion(encodePermitQuestion(question, at(5000)), at(5000));
             owners.owners(received->limit.endpoint, at(5000));
-            const PermitAnswer answer{received->id, "front-own", bucket.take(200, {}, false, at(5000)), question.limit};
+            const PermitAnswer answer{received->id, "front-own", bucket.take(200, {}, {}, at(5000)), question.limit};
             decodePermitAnswer(encodePermitAnswer(answer, at(5000)), at(5000));
         };
         times.emplace_back(gateways, microsecondsOf(onePermit, DECISIONS));
     }
     report("one permit at both gateways, us by gateways", "us", times);
-    const PermitQuestion question{1, "front-ljubljana-a-1", {"0a1b2c3d", 200.0, at(0)}, {}, false, false};
+    const PermitQuestion question{1, "front-ljubljana-a-1", {"0a1b2c3d", 200.0, at(0)}, {}, {}, false};
     const PermitAnswer answer{1, "front-ljubljana-a-1", PermitGranted{}, question.limit};
     std::cout << "permit question " << encodePermitQuestion(question, at(0)).size() << " bytes, answer "
               << encodePermitAnswer(answer, at(0)).size() << ", notice "
