--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -34,6 +34,8 @@
  * closing. */
 constexpr double CONNECTION_SHARE = 0.8;
 constexpr int MIN_CONNECTIONS = 4;
+/** A loop whose events wait longer than this delays responses noticeably. */
+constexpr Duration NOTICEABLE_DELAY = milliseconds(100);
 
 }
 
@@ -311,9 +313,34 @@
     connection->sendResponse(std::move(head), m_metrics.render());
 }
 
+void Gateway::reportLoopLoad()
+{
+    const LoopLoad load = m_loop.takeLoad();
+    const double delaySeconds = std::chrono::duration<double>(load.longestDelay()).count();
+    m_metrics.set("cyclamenturn_loop_longest_delay_seconds", {}, delaySeconds);
+    for (std::size_t i = 0; i < WORK_KINDS; ++i) {
+        const auto kind = static_cast<WorkKind>(i);
+        const double seconds = std::chrono::duration<double>(load.busy(kind)).count();
+        m_metrics.count("cyclamenturn_loop_busy_seconds", {{"kind", toString(kind)}}, seconds);
+    }
+    if (load.longestDelay() < NOTICEABLE_DELAY) {
+        return;
+    }
+    LogEvent event("loop_behind", LogEvent::Level::Warning);
+    event.field("longest_delay_ms", toMilliseconds(load.longestDelay()))
+        .field("longest_turn_ms", toMilliseconds(load.longestTurn()))
+        .field("requests", static_cast<long long>(m_flows.size()));
+    for (std::size_t i = 0; i < WORK_KINDS; ++i) {
+        const auto kind = static_cast<WorkKind>(i);
+        const std::string name = std::string(toString(kind)) + "_ms";
+        event.field(name.c_str(), toMilliseconds(load.busy(kind)));
+    }
+}
+
 void Gateway::housekeep()
 {
     const TimePoint now = m_loop.now();
+    reportLoopLoad();
     m_pool.expire(now);
     m_quarantine.expire(now);
     m_permits.expire();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -174,6 +174,8 @@
     void applyEndpointList();
     void unexpectedDataReceived(const std::string &endpointId);
     void logChange(const char *event, const EndpointRecord &record) const;
+    /** Counts what kept the event loop busy, and logs when its events waited noticeably long. */
+    void reportLoopLoad();
     void housekeep();
     void continueStop();
     void noteCaughtUp();
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -774,7 +774,8 @@
         .field("outcome", outcome)
         .field("status", status)
         .field("reason", m_abortReason)
-        .field("took_ms", toMilliseconds(took));
+        .field("took_ms", toMilliseconds(took))
+        .field("unread_ms", toMilliseconds(m_request.receivedAt - m_request.arrivedAfter));
     if (route != nullptr) {
         event.field("route", route->name)
             .field("team", m_admitted.team)
--- a/src/transport/eventloop.h
+++ b/src/transport/eventloop.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "loopload.h"
 #include "timepoint.h"
 
 #include <Poco/Net/PollSet.h>
@@ -22,6 +23,11 @@
     virtual ~SocketHandler() = default;
     /** `modes` is a combination of the poll modes of Poco::Net::PollSet. */
     virtual void socketReady(int modes) = 0;
+    /** What socketReady() would do now. */
+    virtual WorkKind workKind() const
+    {
+        return WorkKind::Message;
+    }
 };
 
 /** Not thread-safe; CallbackQueue runs callbacks of other threads on the loop. */
@@ -38,6 +44,16 @@
     {
         return m_now;
     }
+    /**
+     * The earliest time at which the events of the current iteration may have occurred. It lies before now() by the
+     * length of the previous iteration, or of a wait from which the process woke up late.
+     */
+    TimePoint eventsSince() const
+    {
+        return m_eventsSince;
+    }
+    /** Returns what the loop did since the last call. */
+    LoopLoad takeLoad();
 
     /** Notifies `handler` when `socket` is ready for one of the poll modes `modes`, until unwatch() is called. */
     void watch(const Poco::Net::Socket &socket, int modes, SocketHandler *handler);
@@ -62,6 +78,8 @@
     void runOnce(Duration maxWait);
 
 private:
+    /** Waits for ready sockets and sets the times of the iteration. */
+    Poco::Net::PollSet::SocketModeMap poll(Duration maxWait);
     void runExpiredTimers();
 
     Poco::Net::PollSet m_pollSet;
@@ -70,6 +88,9 @@
     std::map<Timer, std::function<void()>> m_timers;
     std::uint64_t m_nextTimerId = 1;
     TimePoint m_now;
+    /** Never after m_now. */
+    TimePoint m_eventsSince;
+    LoopLoad m_load;
 };
 
 }
--- a/src/transport/httpclientconnection.h
+++ b/src/transport/httpclientconnection.h
@@ -80,6 +80,10 @@
     void connected() override;
     void dataReceived() override;
     void disconnected(DisconnectReason reason) override;
+    WorkKind workKind() const override
+    {
+        return WorkKind::Response;
+    }
     void fail(ExchangeFailure failure);
     /**
      * Parses the received bytes. Returns true if a response was skipped and more bytes remain to be parsed. After a
--- a/src/transport/httpserver.h
+++ b/src/transport/httpserver.h
@@ -86,6 +86,10 @@
     friend class HttpServerConnection;
 
     void socketReady(int modes) override;
+    WorkKind workKind() const override
+    {
+        return WorkKind::NewRequest;
+    }
     void handle(const HttpServerConnectionPtr &connection, ReceivedRequest &request)
     {
         m_handler(connection, request);
--- a/src/transport/httpserverconnection.cpp
+++ b/src/transport/httpserverconnection.cpp
@@ -84,6 +84,7 @@
     if (!m_parser) {
         m_parser.emplace(HttpParser::forRequest(m_server.limits().message));
         m_requestReceivedAt = m_loop.now();
+        m_requestArrivedAfter = m_loop.eventsSince();
         m_headReceived = false;
         restartTimer(m_server.limits().headerTimeout);
     }
@@ -106,7 +107,7 @@
     m_loop.cancel(m_timer);
     m_busy = true;
     m_closeAfterResponse = !m_parser->isKeepAlive();
-    ReceivedRequest request{std::move(m_parser->request()), m_parser->takeBody(), m_requestReceivedAt};
+    ReceivedRequest request{std::move(m_parser->request()), m_parser->takeBody(), m_requestReceivedAt, m_requestArrivedAfter};
     m_parser.reset();
     m_isHeadRequest = request.head.method == "HEAD";
     m_server.handle(shared_from_this(), request);
--- a/src/transport/httpserverconnection.h
+++ b/src/transport/httpserverconnection.h
@@ -22,6 +22,8 @@
     std::string body;
     /** Monotonic time at which the server started to read the request. */
     TimePoint receivedAt;
+    /** The earliest time at which the first byte of the request may have arrived; not after `receivedAt`. */
+    TimePoint arrivedAfter;
 };
 
 class HttpServerConnection : private ConnectionListener, public std::enable_shared_from_this<HttpServerConnection>
@@ -70,6 +72,10 @@
     void dataReceived() override;
     void disconnected(DisconnectReason reason) override;
     void outputDrained() override;
+    WorkKind workKind() const override
+    {
+        return m_busy ? WorkKind::ClientClose : WorkKind::NewRequest;
+    }
 
     void processInput();
     /** Parses the input and passes a complete request to the server. Returns whether the input may hold another one. */
@@ -90,6 +96,7 @@
     std::function<void()> m_outputDrainedHandler;
     EventLoop::Timer m_timer;
     TimePoint m_requestReceivedAt;
+    TimePoint m_requestArrivedAfter;
     /** A request was passed to the server, or refused, and its response is not complete. */
     bool m_busy = false;
     /** processInput() is running. A handler may send its response at once, which calls processInput() again. */
--- /dev/null
+++ b/src/transport/loopload.cpp
@@ -0,0 +1,26 @@
+/** \file
+ * Names of the kinds of work in logs and metrics.
+ */
+#include "loopload.h"
+
+namespace Cyclamenturn
+{
+
+const char *toString(WorkKind kind)
+{
+    switch (kind) {
+    case WorkKind::ClientClose:
+        return "client_close";
+    case WorkKind::Response:
+        return "response";
+    case WorkKind::Message:
+        return "message";
+    case WorkKind::NewRequest:
+        return "new_request";
+    case WorkKind::Timer:
+        return "timer";
+    }
+    return "unknown";
+}
+
+}
--- /dev/null
+++ b/src/transport/loopload.h
@@ -0,0 +1,68 @@
+/** \file
+ * What kept an event loop busy, and how late it was, since the last report.
+ */
+#pragma once
+
+#include "timepoint.h"
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+
+namespace Cyclamenturn
+{
+
+/** What the handler of a ready socket does. */
+enum class WorkKind : std::size_t {
+    /** Notices that a client has closed its connection while its request is in progress. */
+    ClientClose,
+    /** Reads responses to calls of this process. */
+    Response,
+    /** Messages between processes and threads. */
+    Message,
+    /** Accepts connections and reads requests. */
+    NewRequest,
+    Timer,
+};
+
+constexpr std::size_t WORK_KINDS = 5;
+
+const char *toString(WorkKind kind);
+
+class LoopLoad
+{
+public:
+    void addWork(WorkKind kind, Duration time)
+    {
+        m_busy[static_cast<std::size_t>(kind)] += time;
+    }
+    /** Notes how long an event may have waited before its handler was called. */
+    void noteDelay(Duration delay)
+    {
+        m_longestDelay = std::max(m_longestDelay, delay);
+    }
+    void noteTurn(Duration length)
+    {
+        m_longestTurn = std::max(m_longestTurn, length);
+    }
+
+    Duration busy(WorkKind kind) const
+    {
+        return m_busy[static_cast<std::size_t>(kind)];
+    }
+    Duration longestDelay() const
+    {
+        return m_longestDelay;
+    }
+    Duration longestTurn() const
+    {
+        return m_longestTurn;
+    }
+
+private:
+    std::array<Duration, WORK_KINDS> m_busy{};
+    Duration m_longestDelay{};
+    Duration m_longestTurn{};
+};
+
+}
--- a/src/transport/tcpconnection.h
+++ b/src/transport/tcpconnection.h
@@ -39,6 +39,8 @@
     virtual void outputDrained()
     {
     }
+    /** What dataReceived() and disconnected() would do now. */
+    virtual WorkKind workKind() const = 0;
 };
 
 class TcpConnection : private SocketHandler
@@ -72,6 +74,10 @@
 
 private:
     void socketReady(int modes) override;
+    WorkKind workKind() const override
+    {
+        return m_listener->workKind();
+    }
     /** Returns false when the connection has ended or the listener has destroyed it. */
     bool finishConnecting();
     /** Returns false when the connection has ended or the listener has destroyed it. */
