--- a/test/error/gatewayfleet.py
+++ b/test/error/gatewayfleet.py
@@ -20,6 +20,7 @@
 DEFAULT_TIMEOUT_S = 10
 # How often a server checks whether it was closed.
 POLL_S = 0.05
+ACCEPT_QUEUE = 128
 
 
 def free_port():
@@ -65,6 +66,7 @@
                     self.open_connections.discard(inner.connection)
 
         socketserver.ThreadingTCPServer.allow_reuse_address = True
+        socketserver.ThreadingTCPServer.request_queue_size = ACCEPT_QUEUE
         self.server = socketserver.ThreadingTCPServer(("127.0.0.1", port), Handler)
         self.server.daemon_threads = True
         self.port = self.server.server_address[1]
