A gateway that falls behind sends nothing on for callers who have left

Cause: the event loop accepted one connection an iteration, handled sockets in the order of their addresses with timers last, and took the start of the iteration for the present. The time that a request waited unread counted neither against its deadline nor for any decision, and a close behind a request was found after the send. Class: work is judged by the time at which it was noticed, and all of it is done, whatever it is still good for.

Change: the loop handles closes first, then responses and messages, timers, and new requests for a limited time, the oldest first; it knows the age of what it reads. Each send is preceded by a check of the time left and, after a lag, of the caller's connection, also where the send waited for a connection or a permit.

--- a/src/gateway/admitrequest.cpp
+++ b/src/gateway/admitrequest.cpp
@@ -49,6 +49,8 @@
         return "all_full";
     case GatewayRefusal::Overloaded:
         return "overloaded";
+    case GatewayRefusal::ProcessBehind:
+        return "process_behind";
     case GatewayRefusal::LimitReached:
         return "limit_reached";
     case GatewayRefusal::Quarantined:
@@ -91,6 +93,7 @@
     case GatewayRefusal::NoEndpoint:
     case GatewayRefusal::AllFull:
     case GatewayRefusal::Overloaded:
+    case GatewayRefusal::ProcessBehind:
     case GatewayRefusal::LimitReached:
     case GatewayRefusal::Quarantined:
     case GatewayRefusal::Stopping:
@@ -123,11 +126,26 @@
     return isAboutContent && doubt != ConfigurationDoubt::None ? GatewayRefusal::ConfigurationOutdated : refusal;
 }
 
+namespace
+{
+
+constexpr int PRIORITIES = 3;
+
+int priorityLevel(int major, int minor)
+{
+    return std::clamp(major * PRIORITIES + std::clamp(minor, 0, PRIORITIES - 1), 0, ENGINE_PRIORITY_LEVELS - 1);
+}
+
+}
+
 int enginePriority(const AdmittedRequest &request)
 {
-    constexpr int ROUTE_PRIORITIES = 3;
-    const int routePriority = std::clamp(request.route->priority, 0, ROUTE_PRIORITIES - 1);
-    return std::clamp(request.priority * ROUTE_PRIORITIES + routePriority, 0, ENGINE_PRIORITY_LEVELS - 1);
+    return priorityLevel(request.priority, request.route->priority);
+}
+
+int intakePriority(const AdmittedRequest &request)
+{
+    return priorityLevel(request.route->priority, request.priority);
 }
 
 std::string requestedHost(const HttpRequestHead &head)
--- a/src/gateway/admitrequest.h
+++ b/src/gateway/admitrequest.h
@@ -31,6 +31,8 @@
     AllFull,
     /** The first event is expected too late to be of use. */
     Overloaded,
+    /** This process has too little processor time for the requests that arrive. */
+    ProcessBehind,
     /** The usable endpoints accept no more requests at present, by the limits that they state. */
     LimitReached,
     /** Equal requests were in progress when endpoints crashed. */
@@ -89,6 +91,10 @@
  * that runs out of memory doesn't preempt the more urgent of two routes of one team. */
 int enginePriority(const AdmittedRequest &request);
 
+/** The same number of levels by the route's priority, then by the request's. A gateway that is behind rejects the less
+ * urgent kind of work first, whoever sends it. */
+int intakePriority(const AdmittedRequest &request);
+
 /** The request's host in lower case, without the port. */
 std::string requestedHost(const HttpRequestHead &head);
 /** The request's target without the query. */
--- a/src/gateway/callerresponse.h
+++ b/src/gateway/callerresponse.h
@@ -21,6 +21,11 @@
     /** `handler` is called once if the caller disconnects before its response is complete. */
     void setDisconnectHandler(std::function<void()> handler);
 
+    /** Whether the caller has disconnected, by what the operating system knows now. */
+    bool isClosedByCaller()
+    {
+        return m_connection->isClosedByClient();
+    }
     /** Sends a complete response. */
     void send(HttpResponseHead head, const std::string &body);
     /** Forwards one event. The first one starts the stream with `head`. */
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -318,6 +318,8 @@
     const LoopLoad load = m_loop.takeLoad();
     const double delaySeconds = std::chrono::duration<double>(load.longestDelay()).count();
     m_metrics.set("cyclamenturn_loop_longest_delay_seconds", {}, delaySeconds);
+    const Duration intakeDelay = m_intakeDelay.current(m_loop.now());
+    m_metrics.set("cyclamenturn_intake_delay_seconds", {}, std::chrono::duration<double>(intakeDelay).count());
     for (std::size_t i = 0; i < WORK_KINDS; ++i) {
         const auto kind = static_cast<WorkKind>(i);
         const double seconds = std::chrono::duration<double>(load.busy(kind)).count();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -12,6 +12,7 @@
 #include "endpointstatistics.h"
 #include "estimatecorrection.h"
 #include "gatewaysettings.h"
+#include "intakepolicy.h"
 #include "messagecodec.h"
 #include "peerlink.h"
 #include "permitbroker.h"
@@ -109,6 +110,10 @@
     {
         return m_permits;
     }
+    IntakeDelay &intakeDelay()
+    {
+        return m_intakeDelay;
+    }
     EstimateCorrection &estimateCorrection()
     {
         return m_estimateCorrection;
@@ -195,6 +200,7 @@
     ConnectionPool m_pool;
     ResponseMemory m_responseMemory;
     RetryWindow m_retries;
+    IntakeDelay m_intakeDelay;
     /** Observes long prompts only; other requests wait too briefly to show how far the estimates are off. */
     EstimateCorrection m_estimateCorrection;
     CrashQuarantine m_quarantine;
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -32,6 +32,8 @@
 constexpr int MAX_PERMITS_ASKED = 4;
 /** Callers come back after Retry-After if it is at most this part of the time that they have left. */
 constexpr int RETURN_TIME_DIVISOR = 3;
+/** For so long, a caller may have left without being noticed. */
+constexpr Duration UNNOTICED_LEAVE_TIME = milliseconds(5);
 /** Few streams last longer, even where their route's timeout allows it. */
 constexpr Duration TYPICAL_MAX_STREAM_DURATION = milliseconds(5000);
 
@@ -44,7 +46,7 @@
 
 RequestFlow::RequestFlow(Gateway &gateway, HttpServerConnectionPtr caller, ReceivedRequest request)
     : m_gateway(gateway)
-    , m_callerResponse(std::move(caller), request.receivedAt)
+    , m_callerResponse(std::move(caller), request.arrivedAfter)
     , m_request(std::move(request))
 {
 }
@@ -96,7 +98,7 @@
         refuse(GatewayRefusal::Quarantined);
         return;
     }
-    m_deadline = m_request.receivedAt
+    m_deadline = m_request.arrivedAfter
         + std::min(m_admitted.route->timeout, m_traits.callerTimeout.value_or(DEFAULT_CALLER_TIMEOUT));
     m_deadlineTimer = m_gateway.loop().callAt(m_deadline, [this] { deadlineReached(); });
     if (!m_gateway.accepts(maxDuration())) {
@@ -104,6 +106,9 @@
         return;
     }
     m_callerResponse.setDisconnectHandler([this] { callerDisconnected(); });
+    if (refuseIfBehind()) {
+        return;
+    }
     m_gateway.retries().noteRequest(m_service, now);
     m_lastEventId = m_traits.lastEventId;
     if (m_traits.prompt) {
@@ -113,6 +118,24 @@
     sendToEndpoint();
 }
 
+bool RequestFlow::refuseIfBehind()
+{
+    const TimePoint now = m_gateway.loop().now();
+    m_gateway.intakeDelay().add(now - m_request.arrivedAfter, now);
+    if (timeLeft() <= Duration()) {
+        refuse(GatewayRefusal::TimedOutUnsent);
+        return true;
+    }
+    const IntakeInputs inputs{m_gateway.intakeDelay().current(now), timeLeft(), intakePriority(m_admitted)};
+    const IntakeDecision decision = decideIntake(inputs, m_gateway.randomFraction());
+    const auto *rejection = std::get_if<TurnAwayRequest>(&decision);
+    if (rejection == nullptr) {
+        return false;
+    }
+    refuse(GatewayRefusal::ProcessBehind, rejection->retryAfter);
+    return true;
+}
+
 Duration RequestFlow::maxDuration() const
 {
     return m_admitted.route->kind == RequestKind::Stream ? std::min(timeLeft(), TYPICAL_MAX_STREAM_DURATION)
@@ -138,6 +161,9 @@
 
 void RequestFlow::sendToEndpoint()
 {
+    if (!isStillWanted()) {
+        return;
+    }
     const TimePoint now = m_gateway.loop().now();
     const PromptTraits *prompt = m_traits.prompt ? &*m_traits.prompt : nullptr;
     std::vector<PlacementCandidate> remaining = candidates();
@@ -169,6 +195,28 @@
     }
 }
 
+bool RequestFlow::isStillWanted()
+{
+    const bool isLate = timeLeft() <= Duration();
+    const bool hasLeft = m_gateway.loop().lag() > UNNOTICED_LEAVE_TIME && m_callerResponse.isClosedByCaller();
+    if (!isLate && !hasLeft) {
+        return true;
+    }
+    m_gateway.metrics().count("cyclamenturn_sends_avoided", {{"reason", hasLeft ? "caller_left" : "timed_out"}});
+    if (m_connection) {
+        // The connection was established for this request, but no byte of it was sent.
+        endAttempt(false);
+        --m_sends;
+    }
+    if (hasLeft) {
+        m_callerResponse.abortStream();
+        callerDisconnected();
+    } else {
+        deadlineReached();
+    }
+    return false;
+}
+
 bool RequestFlow::trySend(const Placement &placement)
 {
     auto connection = m_gateway.pool().acquire(*placement.endpoint, m_gateway.connectionLimit(m_service));
@@ -189,7 +237,7 @@
     ++m_permitsAsked;
     m_permitEndpoint = endpoint.id;
     m_isLastPermit = isLastChoice;
-    const TimePoint callerLeavesAt = m_request.receivedAt + m_traits.callerTimeout.value_or(DEFAULT_CALLER_TIMEOUT);
+    const TimePoint callerLeavesAt = m_request.arrivedAfter + m_traits.callerTimeout.value_or(DEFAULT_CALLER_TIMEOUT);
     const Duration returnsWithin
         = std::max(milliseconds(1), Duration(callerLeavesAt - m_gateway.loop().now()) / RETURN_TIME_DIVISOR);
     m_gateway.permits().ask(*limitOf(endpoint), maxWait, isLastChoice ? returnsWithin : Duration(),
@@ -216,7 +264,7 @@
         return false;
     }
     // A response is of full use until the route's objective, counted from the request.
-    const Duration untilObjective = m_request.receivedAt + m_admitted.route->objective - m_gateway.loop().now();
+    const Duration untilObjective = m_request.arrivedAfter + m_admitted.route->objective - m_gateway.loop().now();
     askPermit(*earliest, std::max(Duration(), std::min(untilObjective, timeLeft() / 2)), true);
     return true;
 }
@@ -246,6 +294,9 @@
 
 void RequestFlow::sendWithPermit()
 {
+    if (!isStillWanted()) {
+        return;
+    }
     for (const PlacementCandidate &candidate : candidates()) {
         if (candidate.record->id != m_permitEndpoint) {
             continue;
@@ -775,7 +826,7 @@
         .field("status", status)
         .field("reason", m_abortReason)
         .field("took_ms", toMilliseconds(took))
-        .field("unread_ms", toMilliseconds(m_request.receivedAt - m_request.arrivedAfter));
+        .field("unread_ms", toMilliseconds(m_request.readAt - m_request.arrivedAfter));
     if (route != nullptr) {
         event.field("route", route->name)
             .field("team", m_admitted.team)
@@ -790,6 +841,7 @@
             .field("prefill_tokens", m_placement.prefillTokens)
             .field("permits_asked", m_permitsAsked)
             .field("permit_wait_ms", toMilliseconds(m_permitWait))
+            .field("intake_delay_ms", toMilliseconds(m_gateway.intakeDelay().current(now)))
             .field("home", m_placement.isHomeEndpoint ? 1 : 0)
             .field("long_answer_endpoints", static_cast<long long>(m_placement.longAnswerEndpoints));
     }
@@ -820,7 +872,7 @@
         m_gateway.placement().noteEnded(*m_traits.prompt);
     }
     const TimePoint now = m_gateway.loop().now();
-    const Duration took = now - m_request.receivedAt;
+    const Duration took = now - m_request.arrivedAfter;
     const Route *route = m_admitted.route;
     if (route != nullptr) {
         m_gateway.metrics().observe(
--- a/src/gateway/requestflow.h
+++ b/src/gateway/requestflow.h
@@ -35,6 +35,8 @@
     void resume();
 
 private:
+    /** Whether the caller still waits. Otherwise the request has been ended, without a send that would be in vain. */
+    bool isStillWanted() override;
     bool matchesRequest(const HttpResponseHead &head) override;
     void headReceived(const HttpResponseHead &head) override;
     void bodyReceived(std::string piece) override;
@@ -42,6 +44,8 @@
     void exchangeFailed(ExchangeFailure failure) override;
 
     void admit();
+    /** Refuses the request and returns true when this process is too far behind for it. */
+    bool refuseIfBehind();
     void sendToEndpoint();
     /** The usable endpoints of the service that haven't been tried. */
     std::vector<PlacementCandidate> candidates();
--- a/src/transport/eventloop.cpp
+++ b/src/transport/eventloop.cpp
@@ -18,12 +18,34 @@
 constexpr Duration SHORT_ITERATION = milliseconds(5);
 /** A process that wakes up from a wait later than this was stopped or had no processor time. */
 constexpr Duration LATE_WAKEUP = milliseconds(20);
+/** New requests get as much time as an iteration took for everything else, within these bounds: the next closes and
+ * responses wait no longer than the longer one. */
+constexpr Duration MIN_NEW_REQUEST_TIME = milliseconds(10);
+constexpr Duration MAX_NEW_REQUEST_TIME = milliseconds(200);
+
+/** The place of a kind of work in an iteration. Timers run between the last two. */
+int order(WorkKind kind)
+{
+    switch (kind) {
+    case WorkKind::ClientClose:
+        return 0;
+    case WorkKind::Response:
+    case WorkKind::Message:
+    case WorkKind::Timer:
+        return 1;
+    case WorkKind::NewRequest:
+        return 2;
+    }
+    return 1;
+}
 
 }
 
 EventLoop::EventLoop()
     : m_now(monotonicTime())
+    , m_polledAt(m_now)
     , m_eventsSince(m_now)
+    , m_eventSince(m_now)
 {
 }
 
@@ -41,6 +63,7 @@
 void EventLoop::unwatch(const Poco::Net::Socket &socket)
 {
     if (m_handlers.erase(socket.impl()) > 0) {
+        m_waitingSince.erase(socket.impl());
         m_pollSet.remove(socket);
     }
 }
@@ -64,17 +87,18 @@
 
 Poco::Net::PollSet::SocketModeMap EventLoop::poll(Duration maxWait)
 {
-    const TimePoint lastPollAt = m_now;
+    const TimePoint lastPollAt = m_polledAt;
     TimePoint startedAt = monotonicTime();
     m_load.noteTurn(startedAt - lastPollAt);
+    m_iterationStartedAt = startedAt;
     if (startedAt - lastPollAt > SHORT_ITERATION) {
         auto ready = m_pollSet.poll(Poco::Timespan(0));
-        m_now = monotonicTime();
+        m_polledAt = monotonicTime();
         m_eventsSince = lastPollAt;
         if (!ready.empty()) {
             return ready;
         }
-        startedAt = m_now;
+        startedAt = m_polledAt;
     }
     Duration wait = maxWait;
     if (!m_timers.empty()) {
@@ -84,40 +108,93 @@
     // timer expires.
     const auto waitMs = (wait.count() + 999) / 1000;
     auto ready = m_pollSet.poll(Poco::Timespan(waitMs * 1000));
-    m_now = monotonicTime();
-    m_eventsSince = m_now - startedAt > wait + LATE_WAKEUP ? startedAt : m_now;
+    m_polledAt = monotonicTime();
+    m_iterationStartedAt = m_polledAt;
+    m_eventsSince = m_polledAt - startedAt > wait + LATE_WAKEUP ? startedAt : m_polledAt;
     return ready;
 }
 
-void EventLoop::runOnce(Duration maxWait)
+std::vector<EventLoop::Event> EventLoop::orderedEvents(const Poco::Net::PollSet::SocketModeMap &ready)
 {
-    TimePoint startedAt = m_now;
-    const auto noteWork = [this, &startedAt](WorkKind kind) {
-        const TimePoint end = monotonicTime();
-        m_load.addWork(kind, end - startedAt);
-        startedAt = end;
-    };
-    const auto ready = poll(maxWait);
-    startedAt = m_now;
+    std::vector<Event> out;
+    out.reserve(ready.size());
     for (const auto &[socket, modes] : ready) {
         const auto found = m_handlers.find(socket.impl());
-        if (found != m_handlers.end()) {
-            const WorkKind kind = found->second->workKind();
-            m_load.noteDelay(startedAt - m_eventsSince);
-            found->second->socketReady(modes);
-            noteWork(kind);
+        if (found == m_handlers.end()) {
+            continue;
         }
+        const auto waiting = m_waitingSince.find(socket.impl());
+        const TimePoint since = waiting == m_waitingSince.end() ? m_eventsSince : waiting->second;
+        out.push_back({socket, modes, found->second->workKind(), since});
+    }
+    std::stable_sort(out.begin(), out.end(), [](const Event &a, const Event &b) {
+        return std::make_pair(order(a.kind), a.since) < std::make_pair(order(b.kind), b.since);
+    });
+    return out;
+}
+
+void EventLoop::noteWork(WorkKind kind)
+{
+    const TimePoint end = monotonicTime();
+    m_load.addWork(kind, end - m_now);
+    m_now = end;
+}
+
+void EventLoop::handle(const Event &event)
+{
+    const auto found = m_handlers.find(event.socket.impl());
+    if (found == m_handlers.end()) {
+        return;
+    }
+    m_waitingSince.erase(event.socket.impl());
+    m_eventSince = event.since;
+    m_load.noteDelay(lag());
+    found->second->socketReady(event.modes);
+    noteWork(event.kind);
+}
+
+bool EventLoop::hasTimeForMore()
+{
+    m_now = monotonicTime();
+    return m_now < m_newRequestsUntil;
+}
+
+void EventLoop::handleNewRequests(const std::vector<Event> &events, std::size_t first)
+{
+    m_newRequestsUntil
+        = m_now + std::clamp(Duration(m_now - m_iterationStartedAt), MIN_NEW_REQUEST_TIME, MAX_NEW_REQUEST_TIME);
+    for (std::size_t i = first; i < events.size(); ++i) {
+        if (i == first || m_now < m_newRequestsUntil) {
+            handle(events[i]);
+        } else if (m_handlers.count(events[i].socket.impl()) > 0) {
+            m_waitingSince[events[i].socket.impl()] = events[i].since;
+        }
+    }
+}
+
+void EventLoop::runOnce(Duration maxWait)
+{
+    const auto ready = poll(maxWait);
+    m_now = m_polledAt;
+    const std::vector<Event> events = orderedEvents(ready);
+    std::size_t next = 0;
+    for (; next < events.size() && events[next].kind != WorkKind::NewRequest; ++next) {
+        handle(events[next]);
     }
+    m_eventSince = m_eventsSince;
     runExpiredTimers();
-    noteWork(WorkKind::Timer);
+    handleNewRequests(events, next);
+    m_eventSince = m_eventsSince;
 }
 
 void EventLoop::runExpiredTimers()
 {
-    while (!m_timers.empty() && m_timers.begin()->first.first <= m_now) {
+    const TimePoint expiredBy = m_now;
+    while (!m_timers.empty() && m_timers.begin()->first.first <= expiredBy) {
         const auto callback = std::move(m_timers.begin()->second);
         m_timers.erase(m_timers.begin());
         callback();
+        noteWork(WorkKind::Timer);
     }
 }
 
--- a/src/transport/eventloop.h
+++ b/src/transport/eventloop.h
@@ -1,5 +1,9 @@
 /** \file
  * Event loop for sockets and timers. All callbacks run on the thread that calls runOnce().
+ *
+ * The order of an iteration keeps a process that falls behind from working for clients that have left: first closes of
+ * clients, then responses and messages, then timers, then new requests. New requests get a limited time, the oldest
+ * first; the others wait for the next iteration, and their age is known by then.
  */
 #pragma once
 
@@ -12,6 +16,7 @@
 #include <map>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace Cyclamenturn
 {
@@ -39,18 +44,31 @@
 
     EventLoop();
 
-    /** Monotonic time at which the current iteration of the loop started to run callbacks. */
+    /** Monotonic time at which the running callback was called. */
     TimePoint now() const
     {
         return m_now;
     }
     /**
-     * The earliest time at which the events of the current iteration may have occurred. It lies before now() by the
-     * length of the previous iteration, or of a wait from which the process woke up late.
+     * The earliest time at which the event that is handled may have occurred. It lies before now() by the time since
+     * the previous poll, or since a wait from which the process woke up late, and by the iterations for which the event
+     * was put off.
      */
-    TimePoint eventsSince() const
+    TimePoint eventSince() const
     {
-        return m_eventsSince;
+        return m_eventSince;
+    }
+    /** How long something may have happened that no handler knows yet. */
+    Duration lag() const
+    {
+        return m_now - m_eventSince;
+    }
+    /** For a handler of new requests: whether it may go on to another request in this iteration. Updates now(). */
+    bool hasTimeForMore();
+    /** For a handler of new requests that leaves some unread: keeps the time since which they wait. */
+    void keepWaiting(const Poco::Net::Socket &socket)
+    {
+        m_waitingSince[socket.impl()] = m_eventSince;
     }
     /** Returns what the loop did since the last call. */
     LoopLoad takeLoad();
@@ -78,9 +96,25 @@
     void runOnce(Duration maxWait);
 
 private:
+    struct Event
+    {
+        Poco::Net::Socket socket;
+        int modes = 0;
+        WorkKind kind = WorkKind::Message;
+        /** The earliest time at which it may have occurred. */
+        TimePoint since;
+    };
+
     /** Waits for ready sockets and sets the times of the iteration. */
     Poco::Net::PollSet::SocketModeMap poll(Duration maxWait);
+    /** The events of the ready sockets, in the order in which they are to be handled. */
+    std::vector<Event> orderedEvents(const Poco::Net::PollSet::SocketModeMap &ready);
+    void handle(const Event &event);
+    void handleNewRequests(const std::vector<Event> &events, std::size_t first);
+    /** Runs the timers that have expired by now; those that they add run in the next iteration at the earliest. */
     void runExpiredTimers();
+    /** Sets now() and counts the time since then as work of this kind. */
+    void noteWork(WorkKind kind);
 
     Poco::Net::PollSet m_pollSet;
     /** Keyed by the socket's implementation, which the sockets returned by a poll keep alive while the handlers run. */
@@ -88,8 +122,18 @@
     std::map<Timer, std::function<void()>> m_timers;
     std::uint64_t m_nextTimerId = 1;
     TimePoint m_now;
-    /** Never after m_now. */
+    /** When the current iteration started, or the wait at its start ended. */
+    TimePoint m_iterationStartedAt;
+    /** When the current iteration polled. */
+    TimePoint m_polledAt;
+    /** The earliest time of the events that the current iteration found; never after m_polledAt. */
     TimePoint m_eventsSince;
+    /** The same of the running callback, which may have been put off; never after m_eventsSince. */
+    TimePoint m_eventSince;
+    /** When this iteration's time for new requests is over. */
+    TimePoint m_newRequestsUntil;
+    /** Sockets whose events were put off, by when these may have occurred. */
+    std::unordered_map<const Poco::Net::SocketImpl *, TimePoint> m_waitingSince;
     LoopLoad m_load;
 };
 
--- a/src/transport/httpclientconnection.cpp
+++ b/src/transport/httpclientconnection.cpp
@@ -63,6 +63,9 @@
 void HttpClientConnection::connected()
 {
     m_loop.cancel(m_connectTimer);
+    if (m_listener != nullptr && !m_listener->isStillWanted()) {
+        return;
+    }
     m_connection->write(m_pendingRequest);
     m_pendingRequest.clear();
 }
--- a/src/transport/httpclientconnection.h
+++ b/src/transport/httpclientconnection.h
@@ -36,6 +36,14 @@
 {
 public:
     virtual ~ExchangeListener() = default;
+    /**
+     * Returns whether the request is still to be sent now that the connection is established. When it returns false, it
+     * may have destroyed the connection.
+     */
+    virtual bool isStillWanted()
+    {
+        return true;
+    }
     /** Returns whether a final response belongs to the current request. Responses to other requests are skipped. */
     virtual bool matchesRequest(const HttpResponseHead &head) = 0;
     virtual void headReceived(const HttpResponseHead &head) = 0;
--- a/src/transport/httpserver.cpp
+++ b/src/transport/httpserver.cpp
@@ -3,10 +3,11 @@
  */
 #include "httpserver.h"
 
-#include <Poco/Exception.h>
 #include <Poco/Net/PollSet.h>
+#include <Poco/Net/StreamSocketImpl.h>
 
 #include <algorithm>
+#include <sys/socket.h>
 #include <vector>
 
 namespace Cyclamenturn
@@ -84,13 +85,31 @@
     }
 }
 
+bool HttpServer::acceptOne()
+{
+    // Not acceptConnection(), which throws when no connection waits.
+    const auto descriptor = ::accept(m_socket.impl()->sockfd(), nullptr, nullptr);
+    if (descriptor < 0) { // none waits, the client disconnected early, or no file descriptor was free
+        return false;
+    }
+    const Poco::Net::StreamSocket socket(new Poco::Net::StreamSocketImpl(descriptor));
+    const auto connection = std::make_shared<HttpServerConnection>(*this, m_loop, socket);
+    m_connections.emplace(connection.get(), connection);
+    // Usually the request is there already. Read now, its age is that of the connection.
+    connection->readArrived();
+    return true;
+}
+
 void HttpServer::socketReady(int)
 {
-    try {
-        const Poco::Net::StreamSocket socket = m_socket.acceptConnection();
-        const auto connection = std::make_shared<HttpServerConnection>(*this, m_loop, socket);
-        m_connections.emplace(connection.get(), connection);
-    } catch (const Poco::Exception &) { // the client disconnected early, or no file descriptor was free
+    while (acceptOne()) {
+        if (!m_accepting) {
+            return;
+        }
+        if (!m_loop.hasTimeForMore()) {
+            m_loop.keepWaiting(m_socket);
+            return;
+        }
     }
 }
 
--- a/src/transport/httpserver.h
+++ b/src/transport/httpserver.h
@@ -99,6 +99,8 @@
         return m_rejectionHandler ? m_rejectionHandler(request) : HttpResponseHead{request.status, "", {}};
     }
     void remove(HttpServerConnection *connection);
+    /** Accepts a connection that waits and reads what has arrived on it. Returns false if none waits. */
+    bool acceptOne();
 
     EventLoop &m_loop;
     Poco::Net::ServerSocket m_socket;
--- a/src/transport/httpserverconnection.cpp
+++ b/src/transport/httpserverconnection.cpp
@@ -83,8 +83,8 @@
 {
     if (!m_parser) {
         m_parser.emplace(HttpParser::forRequest(m_server.limits().message));
-        m_requestReceivedAt = m_loop.now();
-        m_requestArrivedAfter = m_loop.eventsSince();
+        m_requestReadAt = m_loop.now();
+        m_requestArrivedAfter = m_loop.eventSince();
         m_headReceived = false;
         restartTimer(m_server.limits().headerTimeout);
     }
@@ -107,7 +107,8 @@
     m_loop.cancel(m_timer);
     m_busy = true;
     m_closeAfterResponse = !m_parser->isKeepAlive();
-    ReceivedRequest request{std::move(m_parser->request()), m_parser->takeBody(), m_requestReceivedAt, m_requestArrivedAfter};
+    ReceivedRequest request{
+        std::move(m_parser->request()), m_parser->takeBody(), m_requestArrivedAfter, m_requestReadAt};
     m_parser.reset();
     m_isHeadRequest = request.head.method == "HEAD";
     m_server.handle(shared_from_this(), request);
--- a/src/transport/httpserverconnection.h
+++ b/src/transport/httpserverconnection.h
@@ -20,10 +20,10 @@
 {
     HttpRequestHead head;
     std::string body;
-    /** Monotonic time at which the server started to read the request. */
-    TimePoint receivedAt;
-    /** The earliest time at which the first byte of the request may have arrived; not after `receivedAt`. */
+    /** The earliest time at which the request may have arrived. */
     TimePoint arrivedAfter;
+    /** Monotonic time at which the server started to read the request; not before `arrivedAfter`. */
+    TimePoint readAt;
 };
 
 class HttpServerConnection : private ConnectionListener, public std::enable_shared_from_this<HttpServerConnection>
@@ -59,6 +59,11 @@
     {
         return m_connection.pendingOutput();
     }
+    /** Whether the client has closed the connection, by what the operating system knows now. */
+    bool isClosedByClient()
+    {
+        return m_connection.isClosedByPeer();
+    }
     bool isBusy() const
     {
         return m_busy;
@@ -69,6 +74,11 @@
 private:
     friend class HttpServer;
 
+    /** Reads what arrived before the server took the connection. */
+    void readArrived()
+    {
+        m_connection.receiveArrived();
+    }
     void dataReceived() override;
     void disconnected(DisconnectReason reason) override;
     void outputDrained() override;
@@ -95,8 +105,8 @@
     std::function<void()> m_disconnectHandler;
     std::function<void()> m_outputDrainedHandler;
     EventLoop::Timer m_timer;
-    TimePoint m_requestReceivedAt;
     TimePoint m_requestArrivedAfter;
+    TimePoint m_requestReadAt;
     /** A request was passed to the server, or refused, and its response is not complete. */
     bool m_busy = false;
     /** processInput() is running. A handler may send its response at once, which calls processInput() again. */
--- a/src/transport/tcpconnection.cpp
+++ b/src/transport/tcpconnection.cpp
@@ -9,6 +9,7 @@
 
 #include <cerrno>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace Cyclamenturn
 {
@@ -78,6 +79,19 @@
     m_socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS);
 }
 
+bool TcpConnection::isClosedByPeer()
+{
+    if (m_disconnected) {
+        return true;
+    }
+    char byte = 0;
+    try {
+        return m_socket.receiveBytes(&byte, 1, MSG_PEEK) == 0;
+    } catch (const Poco::Exception &) {
+        return true;
+    }
+}
+
 void TcpConnection::resetOnClose()
 {
     try {
--- a/src/transport/tcpconnection.h
+++ b/src/transport/tcpconnection.h
@@ -69,6 +69,14 @@
     {
         return m_output.size();
     }
+    /** Whether the peer has closed or reset the connection, by what the operating system knows now. False while unread
+     * bytes precede the close. */
+    bool isClosedByPeer();
+    /** Reads bytes that have already arrived, without waiting for the next iteration of the event loop. */
+    void receiveArrived()
+    {
+        receive();
+    }
     /** Makes the destructor reset the connection, so that the peer can tell that a response is incomplete. */
     void resetOnClose();
 
--- /dev/null
+++ b/test/correctness/eventloop.cpp
@@ -0,0 +1,143 @@
+/** \file
+ * Order of the work in an iteration of the event loop, and the age of what it handles.
+ */
+#include "transport/eventloop.h"
+#include "clock.h"
+
+#include <Poco/Net/DatagramSocket.h>
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+
+using namespace Cyclamenturn;
+
+namespace
+{
+
+/** A socket that is ready from the start, since it has sent itself a datagram. */
+class ReadySocket : public SocketHandler
+{
+public:
+    ReadySocket(EventLoop &loop, WorkKind kind, std::function<void()> work)
+        : m_loop(loop)
+        , m_kind(kind)
+        , m_work(std::move(work))
+        , m_socket(Poco::Net::SocketAddress("127.0.0.1", 0), false)
+    {
+        m_socket.connect(m_socket.address());
+        m_socket.setBlocking(false);
+        m_loop.watch(m_socket, Poco::Net::PollSet::POLL_READ, this);
+        makeReady();
+    }
+    ~ReadySocket() override
+    {
+        m_loop.unwatch(m_socket);
+    }
+    void makeReady()
+    {
+        m_socket.sendBytes("", 1);
+    }
+    WorkKind workKind() const override
+    {
+        return m_kind;
+    }
+    void socketReady(int) override
+    {
+        char byte = 0;
+        m_socket.receiveBytes(&byte, 1);
+        m_work();
+    }
+
+private:
+    EventLoop &m_loop;
+    WorkKind m_kind;
+    std::function<void()> m_work;
+    Poco::Net::DatagramSocket m_socket;
+};
+
+void spend(Duration time)
+{
+    std::this_thread::sleep_for(time);
+}
+
+}
+
+TEST_CASE("closes of clients are handled first, then responses, then timers, and new requests last")
+{
+    EventLoop loop;
+    std::string order;
+    const auto append = [&order](char letter) {
+        return [&order, letter] {
+            order += letter;
+        };
+    };
+    // Many sockets of each kind, as a loop without an order handles them by their addresses.
+    std::vector<std::unique_ptr<ReadySocket>> sockets;
+    for (int i = 0; i < 8; ++i) {
+        sockets.push_back(std::make_unique<ReadySocket>(loop, WorkKind::NewRequest, append('n')));
+        sockets.push_back(std::make_unique<ReadySocket>(loop, WorkKind::Response, append('r')));
+        sockets.push_back(std::make_unique<ReadySocket>(loop, WorkKind::ClientClose, append('c')));
+    }
+    loop.callAfter(Duration(0), append('t'));
+    loop.runOnce(milliseconds(100));
+    REQUIRE(order
+        == "cccccccc"
+           "rrrrrrrr"
+           "t"
+           "nnnnnnnn");
+}
+
+TEST_CASE("new requests beyond the time for them wait, and closes that come meanwhile are handled before them")
+{
+    EventLoop loop;
+    std::string order;
+    std::vector<Duration> ages;
+    ReadySocket closing(loop, WorkKind::ClientClose, [&order] { order += 'c'; });
+    std::vector<std::unique_ptr<ReadySocket>> requests;
+    for (int i = 0; i < 4; ++i) {
+        requests.push_back(std::make_unique<ReadySocket>(loop, WorkKind::NewRequest, [&] {
+            order += 'n';
+            ages.push_back(loop.lag());
+            spend(milliseconds(30));
+        }));
+    }
+    for (int i = 0; i < 4; ++i) {
+        loop.runOnce(milliseconds(100));
+        closing.makeReady();
+    }
+    REQUIRE(order == "cncncncn");
+    // Each of the later ones has waited for the 30 ms of each one before it.
+    for (std::size_t i = 0; i < ages.size(); ++i) {
+        REQUIRE(ages[i] >= milliseconds(30) * static_cast<int>(i));
+    }
+}
+
+TEST_CASE("an event that occurs while a handler is busy is as old as that handler's work")
+{
+    EventLoop loop;
+    Duration age{};
+    ReadySocket late(loop, WorkKind::Response, [&] { age = loop.lag(); });
+    loop.runOnce(milliseconds(100));
+    REQUIRE(age < milliseconds(20));
+    ReadySocket busy(loop, WorkKind::Response, [&] {
+        late.makeReady();
+        spend(milliseconds(40));
+    });
+    loop.runOnce(milliseconds(100));
+    loop.runOnce(milliseconds(100));
+    REQUIRE(age >= milliseconds(40));
+}
+
+TEST_CASE("the time of the loop proceeds with each handler")
+{
+    EventLoop loop;
+    TimePoint seen;
+    ReadySocket busy(loop, WorkKind::ClientClose, [] { spend(milliseconds(30)); });
+    ReadySocket next(loop, WorkKind::Response, [&] { seen = loop.now(); });
+    const TimePoint start = monotonicTime();
+    loop.runOnce(milliseconds(100));
+    REQUIRE(seen - start >= milliseconds(30));
+}
