A read that was lost in a silence of the store doesn't delay the next one

Callers were served by an outdated configuration up to 3.5 s after a silent store had returned. A read without a response doubled the timeout of the next one, up to 3.2 s, as the store might just be slow; a read lost in the silence was then waited for as long.

Now the next read begins after the usual timeout, while the late one stays open for 3.2 s and is used if its response arrives first. The timeout grows only for a store that has been seen to answer late.

--- a/src/gateway/storelink.cpp
+++ b/src/gateway/storelink.cpp
@@ -38,13 +38,22 @@
 
 StoreLink::~StoreLink()
 {
-    m_loop.cancel(m_configuration.timer);
-    m_loop.cancel(m_endpoints.timer);
+    cancelTimers();
+}
+
+void StoreLink::cancelTimers()
+{
+    for (const Channel *channel : {&m_configuration, &m_endpoints}) {
+        m_loop.cancel(channel->timer);
+        m_loop.cancel(channel->readTimer);
+    }
     m_loop.cancel(m_deferredTimer);
 }
 
 void StoreLink::connect()
 {
+    m_configuration.lateReads.clear();
+    m_endpoints.lateReads.clear();
     m_configuration.call = std::make_unique<StoreCall>(m_loop, m_codec, m_address);
     m_endpoints.call = std::make_unique<StoreCall>(m_loop, m_codec, m_address);
 }
@@ -52,9 +61,7 @@
 void StoreLink::setAddress(const Address &address)
 {
     m_address = address;
-    m_loop.cancel(m_configuration.timer);
-    m_loop.cancel(m_endpoints.timer);
-    m_loop.cancel(m_deferredTimer);
+    cancelTimers();
     m_isWatching = false;
     m_listItems.clear();
     m_decodedEndpoints.clear();
@@ -82,20 +89,64 @@
         });
 }
 
-void StoreLink::read(
-    Channel &channel, const StoreRequest &request, std::function<void(const StoreResponse &response)> responseHandler)
+void StoreLink::read(Channel &channel, const StoreRequest &request, bool isUsableLate, const ReadHandler &handler)
 {
-    begin(channel, request, channel.readTimeout,
-        [this, &channel, startedAt = m_loop.now(), responseHandler = std::move(responseHandler)](
-            const StoreResponse &response) {
-            if (response.isLate) {
-                channel.readTimeout = std::min(2 * channel.readTimeout, MAX_READ_TIMEOUT);
-            } else if (response.status != 0) {
-                const Duration usual = READ_TIMEOUT_FACTOR * (m_loop.now() - startedAt);
-                channel.readTimeout = std::clamp(usual, MIN_READ_TIMEOUT, MAX_READ_TIMEOUT);
-            }
-            responseHandler(response);
-        });
+    const StoreCall *call = channel.call.get();
+    begin(channel, request, MAX_READ_TIMEOUT,
+        [this, &channel, call, startedAt = m_loop.now(), handler](
+            const StoreResponse &response) { handleReadResponse(channel, call, startedAt, response, handler); });
+    m_loop.cancel(channel.readTimer);
+    channel.readTimer = m_loop.callAfter(channel.readTimeout,
+        [this, &channel, isUsableLate, handler] { handleReadTimeout(channel, isUsableLate, handler); });
+}
+
+void StoreLink::handleReadTimeout(Channel &channel, bool isUsableLate, const ReadHandler &handler)
+{
+    // A call that got no response in a silence of the store never gets one, so another one is begun at once.
+    if (isUsableLate) {
+        channel.lateReads.push_back(std::move(channel.call));
+        if (channel.lateReads.size() > MAX_LATE_READS) {
+            channel.lateReads.erase(channel.lateReads.begin());
+        }
+    }
+    channel.call = std::make_unique<StoreCall>(m_loop, m_codec, m_address);
+    StoreResponse late;
+    late.isLate = true;
+    handler(late);
+}
+
+std::unique_ptr<StoreCall> StoreLink::takeLateRead(Channel &channel, const StoreCall *call)
+{
+    auto &late = channel.lateReads;
+    const auto found = std::find_if(late.begin(), late.end(), [call](const auto &item) { return item.get() == call; });
+    if (found == late.end()) {
+        return nullptr;
+    }
+    auto out = std::move(*found);
+    late.erase(found);
+    return out;
+}
+
+void StoreLink::handleReadResponse(Channel &channel, const StoreCall *call, TimePoint startedAt,
+    const StoreResponse &response, const ReadHandler &handler)
+{
+    std::unique_ptr<StoreCall> lateRead = takeLateRead(channel, call);
+    if (lateRead && response.status == 0) {
+        // The call is on the call stack, so the next iteration destroys it.
+        m_loop.callAt(m_loop.now(), [kept = std::shared_ptr<StoreCall>(std::move(lateRead))] {});
+        return;
+    }
+    if (lateRead) {
+        channel.call = std::move(lateRead);
+        m_loop.cancel(channel.timer);
+    }
+    m_loop.cancel(channel.readTimer);
+    if (response.status != 0) {
+        channel.lateReads.clear();
+        const Duration usual = READ_TIMEOUT_FACTOR * (m_loop.now() - startedAt);
+        channel.readTimeout = std::clamp(usual, MIN_READ_TIMEOUT, MAX_READ_TIMEOUT);
+    }
+    handler(response);
 }
 
 void StoreLink::noteEra(const Channel &channel, const StoreResponse &response)
@@ -135,7 +186,7 @@
 
 void StoreLink::readConfiguration()
 {
-    read(m_configuration, m_codec.readConfigurationRequest(),
+    read(m_configuration, m_codec.readConfigurationRequest(), true,
         [this](const StoreResponse &response) { handleConfigurationRead(response); });
 }
 
@@ -305,7 +356,9 @@
 {
     m_isListReadInProgress = true;
     const std::string after = m_listItems.empty() ? std::string() : m_listItems.back().key;
-    read(m_endpoints, m_codec.listEndpointsRequest(after), [this](const StoreResponse &response) {
+    // The pages before a late one have been dropped.
+    const bool isFirstPage = m_listItems.empty();
+    read(m_endpoints, m_codec.listEndpointsRequest(after), isFirstPage, [this](const StoreResponse &response) {
         if (response.status != OK) {
             setAvailable(m_endpoints, false, "status " + std::to_string(response.status));
             if (response.status == 0) {
--- a/src/gateway/storelink.h
+++ b/src/gateway/storelink.h
@@ -91,9 +91,13 @@
     {
         const char *name;
         std::unique_ptr<StoreCall> call;
+        /** Reads that took too long, the oldest first. Their responses are still used, since the store may be slow
+         * rather than silent. Empty once a read was answered. */
+        std::vector<std::unique_ptr<StoreCall>> lateReads{};
         EventLoop::Timer timer{};
+        EventLoop::Timer readTimer{};
         bool isAvailable = true;
-        /** How long a read may take. */
+        /** How long a read may take before another one is begun. */
         Duration readTimeout = MIN_READ_TIMEOUT;
     };
 
@@ -101,9 +105,12 @@
     static constexpr Duration MIN_READ_TIMEOUT = milliseconds(800);
     /** For a store that is slower, in time to apply a configuration within the platform's bound for disturbances. */
     static constexpr Duration MAX_READ_TIMEOUT = milliseconds(3200);
+    /** As many as are begun within MAX_READ_TIMEOUT. */
+    static constexpr std::size_t MAX_LATE_READS = 3;
     /** A read may take this many times as long as the last one. */
     static constexpr int READ_TIMEOUT_FACTOR = 4;
 
+    void cancelTimers();
     void connect();
     void readConfiguration();
     void handleConfigurationRead(const StoreResponse &response);
@@ -124,9 +131,17 @@
     void begin(Channel &channel, const StoreRequest &request, Duration timeout,
         std::function<void(const StoreResponse &response)> responseHandler);
     void noteEra(const Channel &channel, const StoreResponse &response);
-    /** Begins a read. Its timeout follows the store's response times. */
-    void read(Channel &channel, const StoreRequest &request,
-        std::function<void(const StoreResponse &response)> responseHandler);
+    using ReadHandler = std::function<void(const StoreResponse &response)>;
+    /**
+     * Begins a read. Its timeout follows the response times that the store has shown. After the timeout the handler is
+     * called with a late response, and again if the store responds after all, before it has answered a later read.
+     */
+    void read(Channel &channel, const StoreRequest &request, bool isUsableLate, const ReadHandler &handler);
+    void handleReadTimeout(Channel &channel, bool isUsableLate, const ReadHandler &handler);
+    void handleReadResponse(Channel &channel, const StoreCall *call, TimePoint startedAt, const StoreResponse &response,
+        const ReadHandler &handler);
+    /** Takes a call out of the late reads of the channel. */
+    std::unique_ptr<StoreCall> takeLateRead(Channel &channel, const StoreCall *call);
     /** Records that the store has just answered a call about the configuration. */
     void noteConfigurationConfirmed();
     void setAvailable(Channel &channel, bool available, const std::string &reason);
