--- a/scripts/localfleet.py
+++ b/scripts/localfleet.py
@@ -17,6 +17,8 @@
 import urllib.error
 import urllib.request
 
+from portlease import locked_file
+
 ENTRY_COUNT = 2
 START_TIMEOUT_S = 20
 STOP_TIMEOUT_S = 15
@@ -56,6 +58,7 @@
         self.policy = policy
         self.standin_options = standin_options or {}
         self.processes = {}
+        self.port_lock = None
         self.service_kinds = {service["name"]: service["kind"] for service in self.document["service"]}
 
     @property
@@ -149,7 +152,11 @@
         return subprocess.run(command, capture_output=True, text=True, check=False)
 
     def start(self, accept=True):
-        """Starts all processes; with `accept`, also accepts fleet.toml and waits until all processes are ready."""
+        """Starts all processes; with `accept`, also accepts fleet.toml and waits until all processes are ready.
+
+        Waits until no other run uses the ports of the example.
+        """
+        self.port_lock = locked_file(f"fleet-{self.base_port}", blocking=True)
         self.start_standins()
         wait_until(lambda: http("GET", self.store, "/kv?prefix=x")[0] == 200, "the store")
         for endpoint in self.endpoints():
@@ -189,6 +196,8 @@
                 process.kill()
         for process in self.processes.values():
             process.wait()
+        if self.port_lock is not None:
+            self.port_lock.close()
 
     def __enter__(self):
         # Turns SIGTERM into a normal exit, so that the processes of the fleet are also stopped then.
--- a/test/error/gatewayfleet.py
+++ b/test/error/gatewayfleet.py
@@ -5,6 +5,7 @@
 """
 import base64
 import http.client
+import itertools
 import json
 import os
 import signal
@@ -17,16 +18,22 @@
 import time
 import traceback
 
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "scripts"))
+from portlease import BLOCK_PORTS, lease_ports  # noqa: E402
+
 DEFAULT_TIMEOUT_S = 10
 # How often a server checks whether it was closed.
 POLL_S = 0.05
 ACCEPT_QUEUE = 128
+PORTS_PER_GATEWAY = 4
+own_ports = None
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+def leased_ports():
+    """The iterator over the ports that this process holds for its gateways; ports of gateways that have ended return."""
+    global own_ports
+    own_ports = own_ports or itertools.cycle(lease_ports(BLOCK_PORTS))
+    return own_ports
 
 
 class Request:
@@ -238,16 +245,16 @@
     """A gateway process with its settings file and its log in a temporary directory."""
 
     def __init__(self, build, store, name="g1", grace_s=8, ports=None):
-        """`ports` is an iterator over the ports to listen on; without it, the operating system chooses them."""
-        new_port = free_port if ports is None else lambda: next(ports)
-        self.callers_port, self.readiness_port, self.metrics_port = new_port(), new_port(), new_port()
+        """`ports` is an iterator over the ports to listen on; without it, they are those that this process leases."""
+        ports = ports or leased_ports()
+        self.callers_port, self.readiness_port, self.metrics_port = next(ports), next(ports), next(ports)
         self.directory = tempfile.TemporaryDirectory()
         self.settings_file = os.path.join(self.directory.name, "gateway.toml")
         with open(self.settings_file, "w", encoding="utf-8") as out:
             out.write(
                 f'role = "gateway"\nname = "{name}"\nfailure_domain = "z"\ncallers = "127.0.0.1:{self.callers_port}"\n'
                 f'readiness = "127.0.0.1:{self.readiness_port}"\nmetrics = "127.0.0.1:{self.metrics_port}"\n'
-                f'peers = "127.0.0.1:{new_port()}"\nstore = "127.0.0.1:{store.server.port}"\n'
+                f'peers = "127.0.0.1:{next(ports)}"\nstore = "127.0.0.1:{store.server.port}"\n'
                 f'stop_grace_s = {grace_s}\nlist_interval_ms = 100\n[retries]\nfleet_slack = 1000\n')
         self.log_file = os.path.join(self.directory.name, "log")
         self.program = os.path.join(build, "cyclamenturn-gatewayd")
--- a/test/soak/configurationload.py
+++ b/test/soak/configurationload.py
@@ -22,9 +22,9 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "error"))
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from configurationrecord import Outcome, Record, violations_of  # noqa: E402
-from gatewayfleet import Endpoint, Gateway, Store, configuration, eventually, route, sealed_response  # noqa: E402
+from gatewayfleet import PORTS_PER_GATEWAY, Endpoint, Gateway, Store, configuration, eventually, route, sealed_response  # noqa: E402
+from portlease import lease_ports  # noqa: E402
 
-FIRST_PORT = 24000
 FIRST_ROUTES, ADDED_ROUTES, KEYS = ("look", "send"), 3, 3
 CALLERS, ENDPOINTS, HEARTBEAT_S = 36, 3, 0.2
 # The operator notices a restored store, and writes its configuration again, within this time.
@@ -117,7 +117,7 @@
         self.endpoints = [Endpoint(self.serve) for _ in range(ENDPOINTS)]
         self.heartbeat(0)
         self.operator = Operator(self)
-        ports = iter(range(arguments.first_port, arguments.first_port + 4 * arguments.gateways))
+        ports = lease_ports(PORTS_PER_GATEWAY * arguments.gateways)
         self.gateways = [LoadGateway(arguments.build, self.store, f"g{i}", ports) for i in range(arguments.gateways)]
         for gateway in self.gateways:
             eventually(gateway.is_ready, f"readiness of {gateway.name}", 30)
@@ -247,7 +247,6 @@
     parser.add_argument("--seconds", type=float, default=25)
     parser.add_argument("--gateways", type=int, default=12)
     parser.add_argument("--faults", nargs="+", choices=FAULTS, default=FAULTS)
-    parser.add_argument("--first-port", type=int, default=FIRST_PORT)
     arguments = parser.parse_args()
     fleet = Fleet(arguments)
     threads = [threading.Thread(target=fleet.call) for _ in range(CALLERS)]
--- a/test/soak/crashload.py
+++ b/test/soak/crashload.py
@@ -25,10 +25,10 @@
 from crashrecord import CrashRecord, violations_of  # noqa: E402
 from datagramrelay import DatagramRelay  # noqa: E402
 from faultylink import reset  # noqa: E402
-from gatewayfleet import Gateway, Server, Store, chunk, configuration, eventually, read_request, route  # noqa: E402
+from gatewayfleet import PORTS_PER_GATEWAY, Gateway, Server, Store, chunk, configuration, eventually, read_request, route  # noqa: E402
 from gatewayfleet import sealed_response, stream_head  # noqa: E402
+from portlease import lease_ports  # noqa: E402
 
-FIRST_PORT = 26000
 GATEWAY_KEY = "cyclamenturn/gateways/"
 ROUTES = [route("check", "engine", "streaming", sticky=True, max_attempts=1, slo_ms=500, timeout_ms=4000,
                 gap_target_ms=300),
@@ -183,7 +183,7 @@
         self.store.put("op/config", configuration(1, ROUTES))
         self.endpoints = [CrashingEndpoint(self, "engine", i) for i in range(arguments.engines)]
         self.endpoints += [CrashingEndpoint(self, "desk", i) for i in range(arguments.desks)]
-        ports = iter(range(arguments.first_port, arguments.first_port + 4 * arguments.gateways))
+        ports = lease_ports(PORTS_PER_GATEWAY * arguments.gateways)
         self.gateways = [LoadGateway(arguments.build, self.store, f"g{i}", ports) for i in range(arguments.gateways)]
         for gateway in self.gateways:
             eventually(gateway.is_ready, f"readiness of {gateway.name}", timeout_s=30)
@@ -347,7 +347,6 @@
     parser.add_argument("--slow-per-s", type=float, default=0, help="requests a second that outlast their timeout")
     parser.add_argument("--repeats", type=int, default=1, help="how often callers repeat an innocent request")
     parser.add_argument("--seconds", type=float, default=18)
-    parser.add_argument("--first-port", type=int, default=FIRST_PORT)
     violations = run(parser.parse_args())
     for text in violations:
         print("VIOLATION", text)
--- a/test/soak/limitload.py
+++ b/test/soak/limitload.py
@@ -20,11 +20,11 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "error"))
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
-from gatewayfleet import Gateway, Server, Store, configuration, eventually, read_request, route  # noqa: E402
+from gatewayfleet import PORTS_PER_GATEWAY, Gateway, Server, Store, configuration, eventually, read_request, route  # noqa: E402
 from gatewayfleet import sealed_response  # noqa: E402
+from portlease import lease_ports  # noqa: E402
 from limitrecord import LimitRecord, Phase, judge  # noqa: E402
 
-FIRST_PORT = 30000
 SLO_MS, TIMEOUT_MS = 200, 1500
 ROUTES = [route("look", "desk", max_attempts=2, slo_ms=SLO_MS, timeout_ms=TIMEOUT_MS),
           route("send", "desk", "non_idempotent", max_attempts=1, slo_ms=SLO_MS, timeout_ms=TIMEOUT_MS)]
@@ -75,7 +75,7 @@
         self.endpoints = [LimitedEndpoint(self, i) for i in range(arguments.endpoints)]
         for endpoint in self.endpoints:
             endpoint.begin_phase(None)
-        ports = iter(range(arguments.first_port, arguments.first_port + 4 * arguments.gateways))
+        ports = lease_ports(PORTS_PER_GATEWAY * arguments.gateways)
         self.gateways = [Gateway(arguments.build, self.store, f"g{i}", ports=ports) for i in range(arguments.gateways)]
         for i, gateway in enumerate(self.gateways):
             gateway.name = f"g{i}"
@@ -220,7 +220,6 @@
     parser.add_argument("--rate", type=float, help="requests a second; otherwise more than the limits allow")
     parser.add_argument("--faults", action="store_true", help="kill, stop and freeze gateways meanwhile")
     parser.add_argument("--seconds", type=float, default=40)
-    parser.add_argument("--first-port", type=int, default=FIRST_PORT)
     violations = run(parser.parse_args())
     for text in violations:
         print("VIOLATION", text)
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -24,14 +24,13 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "error"))
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from faultylink import FaultyLink  # noqa: E402
-from gatewayfleet import Endpoint, Gateway, Store, chunk, route, sealed_response, stream_head  # noqa: E402
+from gatewayfleet import PORTS_PER_GATEWAY, Endpoint, Gateway, Store, chunk, route, sealed_response, stream_head  # noqa: E402
+from portlease import lease_ports  # noqa: E402
 from invariants import Outcome, Record, Run, invariant_violations  # noqa: E402
 
 GATEWAYS, CALLERS, GRACE_S = 3, 12, 4
 TEAMS = ("north", "south")
 EVENTS_PER_STREAM, EVENT_PAUSE_S = 12, 0.02
-# Gateway ports lie below the ephemeral port range of the system; each parallel job has a range of its own.
-FIRST_PORT, PORTS_PER_JOB = 20000, 400
 # After an outage of the store or a link, pending calls may still wait for their timeout.
 OUTAGE_SETTLING_S = 2.5
 ROUTES = [route("plain", "desk"), route("once", "desk", "non_idempotent", max_attempts=1),
@@ -87,7 +86,7 @@
 class Fleet:
     """The gateways, the store, the endpoints, and the faulty links to the store and to each endpoint."""
 
-    def __init__(self, build, job, record):
+    def __init__(self, build, record):
         self.record, self.version, self.endpoints = record, 1, {}
         self.store = FaultyStore()
         self.store.put("op/config", configuration(1))
@@ -96,7 +95,7 @@
         for service, count in (("desk", 3), ("model", 3)):
             for _ in range(count):
                 self.add_endpoint(service)
-        ports = iter(range(FIRST_PORT + job * PORTS_PER_JOB, FIRST_PORT + (job + 1) * PORTS_PER_JOB))
+        ports = lease_ports(PORTS_PER_GATEWAY * GATEWAYS)
         self.gateways = [RestartableGateway(build, self.store_link.port, f"g{i}", ports) for i in range(GATEWAYS)]
 
     def add_endpoint(self, service):
@@ -314,9 +313,9 @@
             self.fleet.version = version
 
 
-def run_seed(build, seed, seconds, job):
+def run_seed(build, seed, seconds):
     record, stop = Record(), threading.Event()
-    fleet = Fleet(build, job, record)
+    fleet = Fleet(build, record)
     injector = Injector(fleet, seed)
     try:
         callers = [Caller(fleet, seed * 1000 + i, stop) for i in range(CALLERS)]
@@ -349,10 +348,10 @@
     print(f"logs of the failed seed: {directory}")
 
 
-def run_in_subprocess(arguments, seed, job):
+def run_in_subprocess(arguments, seed):
     """Runs one seed in a process of its own and returns whether it passed."""
     command = [sys.executable, os.path.abspath(__file__), arguments.build, "--seeds", str(seed),
-               "--seconds", str(arguments.seconds), "--job", str(job)]
+               "--seconds", str(arguments.seconds)]
     done = subprocess.run(command, capture_output=True, text=True, check=False)
     print(done.stdout[-2000:] + done.stderr[-2000:] if done.returncode else done.stdout.splitlines()[-1], flush=True)
     return done.returncode == 0
@@ -375,25 +374,20 @@
     parser.add_argument("--fresh", type=float, default=0, help="start new random seeds for this many seconds")
     parser.add_argument("--seconds", type=float, default=12)
     parser.add_argument("--jobs", type=int, default=1)
-    parser.add_argument("--job", type=int, default=0, help=argparse.SUPPRESS)
     arguments = parser.parse_args()
     seeds = chosen_seeds(arguments)
     if not arguments.fresh and "-" not in arguments.seeds:
         seed = next(seeds)
-        violations = run_seed(arguments.build, seed, arguments.seconds, arguments.job)
+        violations = run_seed(arguments.build, seed, arguments.seconds)
         for text in violations:
             print("VIOLATION", text)
         if violations:
             print(f"repeat: python3 test/soak/soak.py {arguments.build} --seeds {seed} --seconds {arguments.seconds:g}")
         return 1 if violations else 0
-    failed, count, free_jobs = [], 0, list(range(arguments.jobs))
+    failed, count = [], 0
     with concurrent.futures.ThreadPoolExecutor(arguments.jobs) as pool:
         def run_one(seed):
-            job = free_jobs.pop()
-            try:
-                return seed, run_in_subprocess(arguments, seed, job)
-            finally:
-                free_jobs.append(job)
+            return seed, run_in_subprocess(arguments, seed)
         pending = set()
         for seed in seeds:
             pending.add(pool.submit(run_one, seed))
