--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -42,6 +42,16 @@
     return status >= 200 && status < 300;
 }
 
+/** The ids of the parts that other prompts may share. */
+std::string sharedPartIds(const std::optional<PromptTraits> &prompt)
+{
+    std::string out;
+    for (std::size_t i = 0; prompt && i + 1 < prompt->parts.size(); ++i) {
+        out += (i > 0 ? "," : "") + prompt->parts[i].id;
+    }
+    return out;
+}
+
 }
 
 RequestFlow::RequestFlow(Gateway &gateway, HttpServerConnectionPtr caller, ReceivedRequest request)
@@ -627,6 +637,8 @@
         .field("endpoint", m_endpoint.id)
         .field("evidence", evidence)
         .field("silent_ms", toMilliseconds(now - m_lastActivityAt))
+        .field("answered", m_firstByteSeen ? 1 : 0)
+        .field("parts", sharedPartIds(m_traits.prompt))
         .field("crashes", tally.counted)
         .field("withdrawn", tally.withdrawn)
         .field("pending", tally.pending)
