A part of prompts that crashes endpoints is quarantined by all gateways

Cause: evidence is held by whole request. Each prompt has a last part of its own, so none repeats, and no request reaches three crashes. Class: a fault that many requests share is looked for in each of them alone.

Change: gateways exchange which parts the unanswered prompts of a crash had, and which parts were answered since; each judges the union.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -59,11 +59,13 @@
     , m_peers(settings.name)
     , m_peerLink(
           loop, settings.peers, m_peers, [this] { return makeDigest(); }, *this)
+    , m_parts(loop, m_peerLink, m_metrics, [this] { withdrawQuarantinedPrompts(); })
     , m_permits(loop, settings.name, m_peers, m_peerLink, m_metrics)
     , m_registration(loop, store, settings.store, settings.name, settings.peers,
           [this](const auto &name, const Address &address) { m_peers.addContact(name, address, m_loop.now()); })
     , m_incarnation(static_cast<std::uint64_t>(currentTime().time_since_epoch().count()))
 {
+    m_peerLink.setEvidenceSource([this] { return m_parts.roundMessage(); });
     m_callerServer.setRejectionHandler([this](const RejectedRequest &request) { return handleRejection(request); });
 }
 
@@ -76,6 +78,7 @@
     m_store.start();
     m_registration.start();
     m_peerLink.start();
+    m_parts.start();
     m_permits.start();
     housekeep();
 }
@@ -130,6 +133,23 @@
     m_permits.limitReceived(limit);
 }
 
+void Gateway::partEvidenceReceived(const PartEvidence &evidence)
+{
+    m_parts.evidenceReceived(evidence);
+}
+
+void Gateway::withdrawQuarantinedPrompts()
+{
+    // A request that ends removes itself from m_flows.
+    std::vector<std::shared_ptr<RequestFlow>> flows;
+    for (const auto &[key, flow] : m_flows) {
+        flows.push_back(flow);
+    }
+    for (const auto &flow : flows) {
+        flow->withdrawIfQuarantined();
+    }
+}
+
 void Gateway::digestReceived(const PeerDigest &digest)
 {
     m_permits.noteHeard(digest.name);
@@ -425,6 +445,7 @@
         case EndpointChange::Kind::Restarted:
             logChange("endpoint_restarted", change.record);
             m_quarantine.noteEndpointEnded(change.previous.incarnationName(), m_loop.now());
+            m_parts.quarantine().noteEndpointEnded(change.previous.incarnationName());
             m_permits.forget(change.previous.incarnationName());
             m_pool.closeIdleConnections(id);
             m_statistics.erase(id);
@@ -435,6 +456,7 @@
             break;
         case EndpointChange::Kind::Removed:
             logChange("endpoint_gone", change.record);
+            m_parts.quarantine().noteEndpointEnded(change.record.incarnationName());
             m_permits.forget(change.record.incarnationName());
             m_pool.closeIdleConnections(id);
             m_statistics.erase(id);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -14,6 +14,7 @@
 #include "gatewaysettings.h"
 #include "intakepolicy.h"
 #include "messagecodec.h"
+#include "partwatch.h"
 #include "peerlink.h"
 #include "permitbroker.h"
 #include "placement.h"
@@ -106,6 +107,10 @@
     {
         return m_quarantine;
     }
+    PartWatch &parts()
+    {
+        return m_parts;
+    }
     PermitBroker &permits()
     {
         return m_permits;
@@ -169,6 +174,7 @@
     void permitQuestionReceived(const PermitQuestion &question, const Address &from) override;
     void permitAnswerReceived(const PermitAnswer &answer) override;
     void endpointLimitReceived(const EndpointLimit &limit) override;
+    void partEvidenceReceived(const PartEvidence &evidence) override;
 
     void handleCaller(const HttpServerConnectionPtr &connection, ReceivedRequest request);
     HttpResponseHead handleRejection(const RejectedRequest &request);
@@ -177,6 +183,8 @@
     PeerDigest makeDigest();
     /** Applies the current list, just read from the store or received from a peer, to the endpoint directory. */
     void applyEndpointList();
+    /** Ends the requests whose prompts have a part that was just quarantined. */
+    void withdrawQuarantinedPrompts();
     void unexpectedDataReceived(const std::string &endpointId);
     void logChange(const char *event, const EndpointRecord &record) const;
     /** Counts what kept the event loop busy, and logs when its events waited noticeably long. */
@@ -219,6 +227,7 @@
     StoreLink m_store;
     PeerView m_peers;
     PeerLink m_peerLink;
+    PartWatch m_parts;
     PermitBroker m_permits;
     Registration m_registration;
     std::uint64_t m_incarnation;
--- /dev/null
+++ b/src/gateway/partquarantine.cpp
@@ -0,0 +1,390 @@
+/** \file
+ * Judgement of the parts of prompts.
+ */
+#include "partquarantine.h"
+
+#include "rendezvoushash.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace Cyclamenturn
+{
+
+namespace
+{
+
+/** With a constant set of crashes, their ages change the result no more often than this matters. */
+constexpr Duration JUDGE_INTERVAL = milliseconds(50);
+
+std::uint32_t shortHash(const std::string &text)
+{
+    return static_cast<std::uint32_t>(contentHash(text));
+}
+
+/** The number of crashes at different moments, and by different requests, whichever is smaller. */
+int countCrashes(const std::vector<PartCrash> &crashes)
+{
+    std::set<std::uint32_t> requests;
+    int moments = 0;
+    TimePoint lastMoment;
+    for (const auto &crash : crashes) {
+        requests.insert(crash.request);
+        if (moments == 0 || crash.at - lastMoment >= PartQuarantine::SAME_MOMENT) {
+            lastMoment = crash.at;
+            ++moments;
+        }
+    }
+    return std::min(moments, static_cast<int>(requests.size()));
+}
+
+/** Selects the latest crashes at different moments by different requests, at most `maxCount`. */
+std::vector<PartCrash> distinctCrashes(const std::vector<PartCrash> &crashes, std::size_t maxCount)
+{
+    std::vector<PartCrash> out;
+    for (auto crash = crashes.rbegin(); crash != crashes.rend() && out.size() < maxCount; ++crash) {
+        const bool isKnown = std::any_of(out.begin(), out.end(), [&crash](const PartCrash &other) {
+            return other.request == crash->request || other.at - crash->at < PartQuarantine::SAME_MOMENT;
+        });
+        if (!isKnown) {
+            out.push_back(*crash);
+        }
+    }
+    return out;
+}
+
+bool isSameCrash(TimePoint a, TimePoint b)
+{
+    return a - b < PartQuarantine::SAME_CRASH && b - a < PartQuarantine::SAME_CRASH;
+}
+
+}
+
+void PartQuarantine::recordCrash(const std::vector<PartKey> &parts, std::uint64_t request, const std::string &team,
+    const std::string &endpoint, TimePoint now)
+{
+    for (const PartKey part : parts) {
+        add({part, static_cast<std::uint32_t>(request), shortHash(team), contentHash(endpoint), now}, true);
+        m_recordedAt = now;
+    }
+}
+
+void PartQuarantine::recordSilence(const std::vector<PartKey> &parts, std::uint64_t request, const std::string &team,
+    const std::string &endpoint, TimePoint silentSince)
+{
+    if (parts.empty() || m_pending.size() >= MAX_PENDING) {
+        return;
+    }
+    Pending pending{endpoint, {}};
+    for (const PartKey part : parts) {
+        pending.crashes.push_back(
+            {part, static_cast<std::uint32_t>(request), shortHash(team), contentHash(endpoint), silentSince});
+    }
+    m_pending.push_back(std::move(pending));
+}
+
+void PartQuarantine::noteEndpointEnded(const std::string &endpoint)
+{
+    for (const auto &pending : m_pending) {
+        if (pending.endpoint == endpoint) {
+            for (const auto &crash : pending.crashes) {
+                add(crash, true);
+            }
+        }
+    }
+    noteResponse(endpoint);
+}
+
+void PartQuarantine::noteResponse(const std::string &endpoint)
+{
+    if (!m_pending.empty()) {
+        m_pending.erase(std::remove_if(m_pending.begin(), m_pending.end(),
+                            [&endpoint](const Pending &pending) { return pending.endpoint == endpoint; }),
+            m_pending.end());
+    }
+}
+
+void PartQuarantine::noteAnswer(const std::vector<PartKey> &parts, TimePoint now)
+{
+    for (const PartKey part : parts) {
+        noteAnswered(part, now);
+    }
+    if (!parts.empty()) {
+        m_recentAnswers.push_back({parts.front(), now});
+    }
+}
+
+bool PartQuarantine::isServiceWorking(PartKey part, TimePoint since) const
+{
+    const auto isOther = [part, since](const PartAnswer &answer) {
+        return answer.part != part && answer.at > since;
+    };
+    return partPlace(part) > 0
+        || std::count_if(m_recentAnswers.begin(), m_recentAnswers.end(), isOther) >= OTHER_ANSWERS;
+}
+
+void PartQuarantine::merge(const PartEvidence &evidence, TimePoint now)
+{
+    for (const auto &crash : evidence.crashes) {
+        if (crash.at + MEMORY_TIME > now) {
+            add(crash, false);
+        }
+    }
+    for (const auto &answer : evidence.answers) {
+        if (answer.at <= now) {
+            noteAnswered(answer.part, answer.at);
+        }
+    }
+}
+
+void PartQuarantine::noteAnswered(PartKey part, TimePoint at)
+{
+    if (m_answered.size() >= MAX_ANSWERED / 2 && m_answered.count(part) == 0) {
+        m_answeredBefore = std::move(m_answered);
+        m_answered.clear();
+    }
+    TimePoint &latest = m_answered[part];
+    latest = std::max(latest, at);
+    m_isChanged = m_isChanged || m_suspects.count(part) != 0;
+}
+
+std::optional<TimePoint> PartQuarantine::answeredAt(PartKey part) const
+{
+    for (const auto *generation : {&m_answered, &m_answeredBefore}) {
+        const auto found = generation->find(part);
+        if (found != generation->end()) {
+            return found->second;
+        }
+    }
+    return std::nullopt;
+}
+
+void PartQuarantine::add(const PartCrash &crash, bool isOwn)
+{
+    if (m_suspects.size() >= MAX_SUSPECTS && m_suspects.count(crash.part) == 0) {
+        return;
+    }
+    auto &crashes = m_suspects[crash.part].crashes;
+    const auto known = std::find_if(crashes.begin(), crashes.end(), [&crash](const Crash &other) {
+        return other.report.endpoint == crash.endpoint && other.report.request == crash.request
+            && isSameCrash(other.report.at, crash.at);
+    });
+    if (known != crashes.end()) {
+        // Each gateway that passes a report on makes it a little younger.
+        known->report.at = std::min(known->report.at, crash.at);
+        known->isOwn = known->isOwn || isOwn;
+        return;
+    }
+    const auto place = std::upper_bound(crashes.begin(), crashes.end(), crash.at,
+        [](TimePoint at, const Crash &other) { return at < other.report.at; });
+    crashes.insert(place, {crash, isOwn});
+    if (crashes.size() > MAX_CRASHES_PER_PART) {
+        crashes.erase(crashes.begin());
+    }
+    m_isChanged = true;
+}
+
+std::vector<PartCrash> PartQuarantine::unansweredCrashes(PartKey part, const Suspect &suspect) const
+{
+    const auto answered = answeredAt(part);
+    std::vector<PartCrash> out;
+    for (const auto &crash : suspect.crashes) {
+        if (!answered || *answered < crash.report.at + ANSWER_MARGIN) {
+            out.push_back(crash.report);
+        }
+    }
+    return out;
+}
+
+void PartQuarantine::indexCrashes()
+{
+    m_crashes.clear();
+    for (const auto &[part, suspect] : m_suspects) {
+        for (const auto &crash : suspect.crashes) {
+            auto &known = m_crashes[crash.report.endpoint];
+            auto found = std::find_if(known.begin(), known.end(),
+                [&crash](const CrashedEndpoint &other) { return isSameCrash(other.at, crash.report.at); });
+            if (found == known.end()) {
+                found = known.insert(known.end(), {crash.report.at, {}});
+            }
+            if (std::find(found->parts.begin(), found->parts.end(), part) == found->parts.end()) {
+                found->parts.push_back(part);
+            }
+        }
+    }
+}
+
+const PartQuarantine::CrashedEndpoint *PartQuarantine::findCrash(const PartCrash &crash) const
+{
+    const auto known = m_crashes.find(crash.endpoint);
+    if (known == m_crashes.end()) {
+        return nullptr;
+    }
+    const auto found = std::find_if(known->second.begin(), known->second.end(),
+        [&crash](const CrashedEndpoint &other) { return isSameCrash(other.at, crash.at); });
+    return found == known->second.end() ? nullptr : &*found;
+}
+
+bool PartQuarantine::hasOtherCause(const PartCrash &crash, const std::unordered_map<PartKey, int> &counts) const
+{
+    const CrashedEndpoint *endpoint = findCrash(crash);
+    if (endpoint == nullptr) {
+        return false;
+    }
+    const auto countOf = [&counts](PartKey part) {
+        const auto found = counts.find(part);
+        return found == counts.end() ? 0 : found->second;
+    };
+    const int ownCount = countOf(crash.part);
+    return std::any_of(endpoint->parts.begin(), endpoint->parts.end(), [&](PartKey other) {
+        if (other == crash.part) {
+            return false;
+        }
+        if (m_verdicts.count(other) != 0) {
+            return true;
+        }
+        const int count = countOf(other);
+        return partPlace(other) > partPlace(crash.part) ? count > 1
+                                                        : partPlace(other) == partPlace(crash.part) && count > ownCount;
+    });
+}
+
+void PartQuarantine::judge(TimePoint now)
+{
+    std::unordered_map<PartKey, int> counts;
+    std::vector<PartKey> candidates;
+    for (const auto &[part, suspect] : m_suspects) {
+        const int count = countCrashes(unansweredCrashes(part, suspect));
+        counts[part] = count;
+        if (count >= CRASH_LIMIT) {
+            candidates.push_back(part);
+        }
+    }
+    for (auto it = m_verdicts.begin(); it != m_verdicts.end();) {
+        const auto found = counts.find(it->first);
+        it = found == counts.end() || found->second < CRASH_LIMIT ? m_verdicts.erase(it) : std::next(it);
+    }
+    if (candidates.empty()) {
+        return;
+    }
+    indexCrashes();
+    std::sort(candidates.begin(), candidates.end(), [&counts](PartKey a, PartKey b) {
+        return std::make_tuple(-partPlace(a), -counts[a], a) < std::make_tuple(-partPlace(b), -counts[b], b);
+    });
+    for (const PartKey part : candidates) {
+        std::vector<PartCrash> counted = unansweredCrashes(part, m_suspects[part]);
+        const bool isKnown = m_verdicts.count(part) != 0;
+        const auto isNotCounted = [&](const PartCrash &crash) {
+            return now - crash.at < SETTLING_TIME || hasOtherCause(crash, counts);
+        };
+        if (!isKnown) {
+            counted.erase(std::remove_if(counted.begin(), counted.end(), isNotCounted), counted.end());
+        }
+        const int count = countCrashes(counted);
+        if (count < CRASH_LIMIT || counted.back().at + QUARANTINE_TIME <= now) {
+            m_verdicts.erase(part);
+            continue;
+        }
+        if (!isKnown && !isServiceWorking(part, counted.front().at)) {
+            continue;
+        }
+        Quarantine &quarantine = m_verdicts[part];
+        quarantine.verdict = {part, count, counted.back().at + QUARANTINE_TIME};
+        for (const auto &crash : counted) {
+            quarantine.teams.insert(crash.team);
+        }
+        if (!isKnown) {
+            m_newVerdicts.push_back(quarantine.verdict);
+        }
+    }
+}
+
+void PartQuarantine::update(TimePoint now)
+{
+    if (m_suspects.empty() || (!m_isChanged && now - m_judgedAt < JUDGE_INTERVAL)) {
+        return;
+    }
+    m_isChanged = false;
+    m_judgedAt = now;
+    judge(now);
+}
+
+std::optional<PartVerdict> PartQuarantine::verdict(
+    const std::vector<PartKey> &parts, const std::string &team, TimePoint now)
+{
+    update(now);
+    for (const PartKey part : m_verdicts.empty() ? std::vector<PartKey>() : parts) {
+        const auto found = m_verdicts.find(part);
+        if (found == m_verdicts.end()) {
+            continue;
+        }
+        // The requests of one team alone say nothing about those of others.
+        const auto &teams = found->second.teams;
+        if (teams.size() > 1 || teams.count(shortHash(team)) != 0) {
+            return found->second.verdict;
+        }
+    }
+    return std::nullopt;
+}
+
+std::vector<PartVerdict> PartQuarantine::takeNewVerdicts(TimePoint now)
+{
+    update(now);
+    return std::exchange(m_newVerdicts, {});
+}
+
+PartEvidence PartQuarantine::evidence(TimePoint now) const
+{
+    std::vector<PartCrash> repeated;
+    std::vector<PartCrash> own;
+    PartEvidence out;
+    for (const auto &[part, suspect] : m_suspects) {
+        const bool isRecent = now < suspect.crashes.back().report.at + OWN_REPORT_TIME;
+        const auto answered = answeredAt(part);
+        if (answered && isRecent) {
+            out.answers.push_back({part, *answered});
+        }
+        const std::vector<PartCrash> unanswered = unansweredCrashes(part, suspect);
+        if (countCrashes(unanswered) > 1) {
+            const auto selected = distinctCrashes(unanswered, CRASH_LIMIT + 1);
+            repeated.insert(repeated.end(), selected.begin(), selected.end());
+            continue;
+        }
+        for (const auto &crash : suspect.crashes) {
+            if (crash.isOwn && now < crash.report.at + OWN_REPORT_TIME) {
+                own.push_back(crash.report);
+            }
+        }
+    }
+    const auto isLater = [](const auto &a, const auto &b) {
+        return a.at > b.at;
+    };
+    std::sort(repeated.begin(), repeated.end(), isLater);
+    std::sort(own.begin(), own.end(), isLater);
+    std::sort(out.answers.begin(), out.answers.end(), isLater);
+    const std::size_t ownCount = std::min(own.size(), PartEvidence::MAX_CRASHES / 2);
+    repeated.resize(std::min(repeated.size(), PartEvidence::MAX_CRASHES - ownCount));
+    out.crashes = std::move(repeated);
+    out.crashes.insert(out.crashes.end(), own.begin(), own.begin() + static_cast<std::ptrdiff_t>(ownCount));
+    out.answers.resize(std::min(out.answers.size(), PartEvidence::MAX_ANSWERS));
+    return out;
+}
+
+void PartQuarantine::expire(TimePoint now)
+{
+    for (auto it = m_suspects.begin(); it != m_suspects.end();) {
+        auto &crashes = it->second.crashes;
+        crashes.erase(std::remove_if(crashes.begin(), crashes.end(),
+                          [now](const Crash &crash) { return crash.report.at + MEMORY_TIME <= now; }),
+            crashes.end());
+        it = crashes.empty() ? m_suspects.erase(it) : std::next(it);
+    }
+    m_pending.erase(std::remove_if(m_pending.begin(), m_pending.end(),
+                        [now](const Pending &pending) { return pending.crashes.front().at + OWN_REPORT_TIME <= now; }),
+        m_pending.end());
+    m_isChanged = true;
+}
+
+}
--- /dev/null
+++ b/src/gateway/partquarantine.h
@@ -0,0 +1,164 @@
+/** \file
+ * Finds parts of prompts that crash each endpoint which begins to answer a prompt with them, and quarantines them.
+ *
+ * A crash interrupts many prompts. Those whose answers had begun didn't cause it, and a part of which an answer has
+ * begun since is sound. Of the other parts, the one that explains most crashes is the cause; where several explain the
+ * same ones, it is the one that fewest prompts share. See docs/design/prompt-parts.md.
+ */
+#pragma once
+
+#include "partevidence.h"
+
+#include <boost/circular_buffer.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace Cyclamenturn
+{
+
+/** Why a prompt is refused. */
+struct PartVerdict
+{
+    PartKey part = 0;
+    /** Crashes that count against the part. */
+    int crashes = 0;
+    /** End of the quarantine unless more endpoints crash. */
+    TimePoint until;
+};
+
+class PartQuarantine
+{
+public:
+    /** A part is quarantined after this many crashes, by as many requests of different content. */
+    static constexpr int CRASH_LIMIT = 3;
+    /** A crash counts after this time, in which answers show that a part is sound. */
+    static constexpr Duration SETTLING_TIME = milliseconds(400);
+    /** Crashes of several endpoints within this time may have one other cause, such as a lost rack. */
+    static constexpr Duration SAME_MOMENT = milliseconds(300);
+    /** Reports of the crash of one endpoint differ by less than this. */
+    static constexpr Duration SAME_CRASH = milliseconds(2000);
+    /** The times of other gateways are late by the time that the message took. */
+    static constexpr Duration ANSWER_MARGIN = milliseconds(200);
+    static constexpr Duration QUARANTINE_TIME = milliseconds(120000);
+    /** Crashes are remembered for this long, so that the first crash after a quarantine begins it again. */
+    static constexpr Duration MEMORY_TIME = milliseconds(600000);
+    /** How long a gateway reports a crash that it recorded itself. */
+    static constexpr Duration OWN_REPORT_TIME = milliseconds(10000);
+    static constexpr std::size_t MAX_SUSPECTS = 1024;
+    static constexpr std::size_t MAX_CRASHES_PER_PART = 12;
+    /** Silent requests that wait for the end of their endpoint to be known. */
+    static constexpr std::size_t MAX_PENDING = 1024;
+    /** Parts of which the latest answer is remembered. */
+    static constexpr std::size_t MAX_ANSWERED = 8192;
+    /**
+     * Other prompts must have been answered so often since the first crash before the first part of a prompt is
+     * quarantined. Most prompts have one of a few first parts, and none is answered while a service is down.
+     */
+    static constexpr int OTHER_ANSWERS = 10;
+
+    /** Records that an unanswered prompt lost its connection. */
+    void recordCrash(const std::vector<PartKey> &parts, std::uint64_t request, const std::string &team,
+        const std::string &endpoint, TimePoint now);
+    /** Records that an unanswered prompt was given up in a silence of its endpoint. Counts if the endpoint turns out to
+     * have ended. */
+    void recordSilence(const std::vector<PartKey> &parts, std::uint64_t request, const std::string &team,
+        const std::string &endpoint, TimePoint silentSince);
+    /** Records that `endpoint` has ended or runs no more under its name. */
+    void noteEndpointEnded(const std::string &endpoint);
+    /** Records a response of `endpoint`: its silences weren't an end. */
+    void noteResponse(const std::string &endpoint);
+    /** Records that an endpoint began to answer a prompt with these parts. */
+    void noteAnswer(const std::vector<PartKey> &parts, TimePoint now);
+    /** Takes over the evidence of another gateway. */
+    void merge(const PartEvidence &evidence, TimePoint now);
+
+    /** Returns why a prompt with these parts is refused, or nothing. */
+    std::optional<PartVerdict> verdict(const std::vector<PartKey> &parts, const std::string &team, TimePoint now);
+    /** Returns the parts that were quarantined since the last call. */
+    std::vector<PartVerdict> takeNewVerdicts(TimePoint now);
+    /** Returns what other gateways should know, the most important first. */
+    PartEvidence evidence(TimePoint now) const;
+    /** Whether this gateway has recorded a crash that the others have had little time to learn. */
+    bool hasFreshCrash(TimePoint now) const
+    {
+        return now < m_recordedAt + FRESH_TIME;
+    }
+    std::size_t suspectCount() const
+    {
+        return m_suspects.size();
+    }
+    std::size_t quarantinedCount() const
+    {
+        return m_verdicts.size();
+    }
+    void expire(TimePoint now);
+
+private:
+    static constexpr Duration FRESH_TIME = milliseconds(1500);
+
+    struct Crash
+    {
+        PartCrash report;
+        bool isOwn = false;
+    };
+    struct Suspect
+    {
+        /** In the order of their times; at most MAX_CRASHES_PER_PART, the latest ones. */
+        std::vector<Crash> crashes;
+    };
+    struct Pending
+    {
+        std::string endpoint;
+        std::vector<PartCrash> crashes;
+    };
+    struct Quarantine
+    {
+        PartVerdict verdict;
+        /** The teams whose requests crashed endpoints. */
+        std::unordered_set<std::uint32_t> teams;
+    };
+    /** The parts of the prompts that one crash of an endpoint interrupted. */
+    struct CrashedEndpoint
+    {
+        TimePoint at;
+        std::vector<PartKey> parts;
+    };
+
+    void add(const PartCrash &crash, bool isOwn);
+    std::optional<TimePoint> answeredAt(PartKey part) const;
+    /** Whether the service works for prompts without the part, as far as this has to be known to quarantine it. */
+    bool isServiceWorking(PartKey part, TimePoint since) const;
+    void noteAnswered(PartKey part, TimePoint at);
+    /** The crashes after which no answer to a prompt with the part has begun. */
+    std::vector<PartCrash> unansweredCrashes(PartKey part, const Suspect &suspect) const;
+    /** Judges all suspects anew if the evidence or its age may have changed the result. */
+    void update(TimePoint now);
+    void judge(TimePoint now);
+    /** Whether the crash has a more likely cause than `part`, by the numbers of crashes in `counts`. */
+    bool hasOtherCause(const PartCrash &crash, const std::unordered_map<PartKey, int> &counts) const;
+    const CrashedEndpoint *findCrash(const PartCrash &crash) const;
+    void indexCrashes();
+
+    /** Never holds a suspect without crashes. */
+    std::unordered_map<PartKey, Suspect> m_suspects;
+    std::unordered_map<PartKey, Quarantine> m_verdicts;
+    std::vector<PartVerdict> m_newVerdicts;
+    /** By endpoint. */
+    std::unordered_map<std::uint64_t, std::vector<CrashedEndpoint>> m_crashes;
+    std::vector<Pending> m_pending;
+    /** Latest answers in two generations; the older one is dropped when the newer one is full. */
+    std::unordered_map<PartKey, TimePoint> m_answered;
+    std::unordered_map<PartKey, TimePoint> m_answeredBefore;
+    /** The latest answers, with the first part of each prompt. */
+    boost::circular_buffer<PartAnswer> m_recentAnswers{64};
+    TimePoint m_recordedAt;
+    TimePoint m_judgedAt;
+    bool m_isChanged = false;
+};
+
+}
--- a/src/gateway/peerdatagram.h
+++ b/src/gateway/peerdatagram.h
@@ -19,6 +19,7 @@
     PermitQuestion = 4,
     PermitAnswer = 5,
     LimitNotice = 6,
+    PartEvidence = 7,
 };
 
 /** Size of the largest datagram that is sent or received. */
--- a/src/gateway/peerlink.cpp
+++ b/src/gateway/peerlink.cpp
@@ -85,6 +85,10 @@
         if (m_view.isLive(sender)) {
             m_listener.endpointLimitReceived(*limit);
         }
+    } else if (PartEvidence evidence; decodePartEvidence(bytes, now, evidence)) {
+        if (m_view.isLive(sender)) {
+            m_listener.partEvidenceReceived(evidence);
+        }
     }
 }
 
@@ -114,8 +118,13 @@
     const std::size_t count = std::min(addresses.size(), DIGESTS_PER_ROUND);
     if (count > 0) {
         const std::string bytes = encodeDigest(m_makeDigest(), m_loop.now());
+        const std::string evidence = m_makeEvidence ? m_makeEvidence() : std::string();
         for (std::size_t i = 0; i < count; ++i) {
-            send(bytes, addresses[(m_nextAddress + i) % addresses.size()]);
+            const Address &address = addresses[(m_nextAddress + i) % addresses.size()];
+            send(bytes, address);
+            if (!evidence.empty()) {
+                send(evidence, address);
+            }
         }
         m_nextAddress = (m_nextAddress + count) % addresses.size();
     }
--- a/src/gateway/peerlink.h
+++ b/src/gateway/peerlink.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "endpointlist.h"
+#include "partevidence.h"
 #include "peerview.h"
 #include "permitmessages.h"
 
@@ -27,6 +28,7 @@
     virtual void permitQuestionReceived(const PermitQuestion &question, const Address &from) = 0;
     virtual void permitAnswerReceived(const PermitAnswer &answer) = 0;
     virtual void endpointLimitReceived(const EndpointLimit &limit) = 0;
+    virtual void partEvidenceReceived(const PartEvidence &evidence) = 0;
 };
 
 class PeerLink : private SocketHandler
@@ -44,6 +46,11 @@
     ~PeerLink() override;
 
     void start();
+    /** Sets the function that returns a datagram to be sent along with the digests of a round, or an empty text. */
+    void setEvidenceSource(std::function<std::string()> makeEvidence)
+    {
+        m_makeEvidence = std::move(makeEvidence);
+    }
     /** Sends the datagram to all live peers immediately. */
     void broadcast(const std::string &bytes);
     void send(const std::string &bytes, const Address &to);
@@ -58,6 +65,7 @@
     Address m_ownAddress;
     PeerView &m_view;
     std::function<PeerDigest()> m_makeDigest;
+    std::function<std::string()> m_makeEvidence;
     PeerLinkListener &m_listener;
     /** Index of the address at which the next round starts. */
     std::size_t m_nextAddress = 0;
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -108,6 +108,13 @@
         refuse(GatewayRefusal::Quarantined);
         return;
     }
+    if (m_traits.prompt) {
+        m_sharedParts = sharedParts(*m_traits.prompt);
+        if (hasQuarantinedPart()) {
+            refuseQuarantinedPart();
+            return;
+        }
+    }
     m_deadline = m_request.arrivedAfter
         + std::min(m_admitted.route->timeout, m_traits.callerTimeout.value_or(DEFAULT_CALLER_TIMEOUT));
     m_deadlineTimer = m_gateway.loop().callAt(m_deadline, [this] { deadlineReached(); });
@@ -128,6 +135,34 @@
     sendToEndpoint();
 }
 
+bool RequestFlow::hasQuarantinedPart()
+{
+    if (m_sharedParts.empty()) {
+        return false;
+    }
+    m_partVerdict = m_gateway.parts().quarantine().verdict(m_sharedParts, m_admitted.team, m_gateway.loop().now());
+    return m_partVerdict.has_value();
+}
+
+void RequestFlow::refuseQuarantinedPart()
+{
+    if (m_callerResponse.isStreamStarted() || m_mayHaveRun) {
+        giveUp(AttemptOutcome::NotRun, GatewayRefusal::Quarantined);
+        return;
+    }
+    refuse(GatewayRefusal::Quarantined, m_partVerdict->until - m_gateway.loop().now());
+}
+
+void RequestFlow::withdrawIfQuarantined()
+{
+    if (m_finished || (m_connection && m_firstByteSeen) || !hasQuarantinedPart()) {
+        return;
+    }
+    m_mayHaveRun = m_mayHaveRun || (m_connection && m_connection->isConnected());
+    endAttempt(false);
+    refuseQuarantinedPart();
+}
+
 bool RequestFlow::refuseIfBehind()
 {
     const TimePoint now = m_gateway.loop().now();
@@ -209,10 +244,12 @@
 {
     const bool isLate = timeLeft() <= Duration();
     const bool hasLeft = m_gateway.loop().lag() > UNNOTICED_LEAVE_TIME && m_callerResponse.isClosedByCaller();
-    if (!isLate && !hasLeft) {
+    const bool isQuarantined = hasQuarantinedPart();
+    if (!isLate && !hasLeft && !isQuarantined) {
         return true;
     }
-    m_gateway.metrics().count("cyclamenturn_sends_avoided", {{"reason", hasLeft ? "caller_left" : "timed_out"}});
+    const char *reason = hasLeft ? "caller_left" : isQuarantined ? "quarantined" : "timed_out";
+    m_gateway.metrics().count("cyclamenturn_sends_avoided", {{"reason", reason}});
     if (m_connection) {
         // The connection was established for this request, but no byte of it was sent.
         endAttempt(false);
@@ -221,6 +258,8 @@
     if (hasLeft) {
         m_callerResponse.abortStream();
         callerDisconnected();
+    } else if (isQuarantined) {
+        refuseQuarantinedPart();
     } else {
         deadlineReached();
     }
@@ -427,6 +466,9 @@
     const TimePoint now = m_gateway.loop().now();
     EndpointStatistics &statistics = m_gateway.statistics(m_endpoint.id);
     m_firstByteSeen = true;
+    if (isSuccess(m_responseHead.status)) {
+        m_gateway.parts().quarantine().noteAnswer(m_sharedParts, now);
+    }
     statistics.noteFirstEvent(m_placement.prefillTokens);
     if (m_placement.expectedMs > 0) {
         const double actualMs = static_cast<double>((now - m_sentAt).count()) / 1000.0;
@@ -445,6 +487,7 @@
     m_responseTraits = m_gateway.messages().decodeResponse(head);
     if (!m_responseTraits.isOtherInstance) {
         m_gateway.quarantine().noteResponse(m_incarnation, m_sentAt);
+        m_gateway.parts().quarantine().noteResponse(m_incarnation);
     }
     if (m_responseTraits.load) {
         m_gateway.statistics(m_endpoint.id).noteLoad(*m_responseTraits.load, now);
@@ -609,6 +652,7 @@
     switch (failure) {
     case ExchangeFailure::Refused:
         m_gateway.quarantine().noteRefusedConnection(m_incarnation, m_gateway.loop().now());
+        m_gateway.parts().quarantine().noteEndpointEnded(m_incarnation);
         attemptFailed(AttemptOutcome::NotSent, EndpointResult::NotConnected, GatewayRefusal::NotReached);
         break;
     case ExchangeFailure::NotConnected:
@@ -658,6 +702,9 @@
         return;
     }
     m_gateway.quarantine().recordCrash(m_fingerprint, m_incarnation, m_gateway.loop().now());
+    if (!m_firstByteSeen) {
+        m_gateway.parts().recordCrash(m_sharedParts, m_fingerprint, m_admitted.team, m_incarnation);
+    }
     m_gateway.metrics().count("cyclamenturn_crash_reports", {{"from", "own"}});
     logCrashEvidence("crash_suspected", "connection_lost");
 }
@@ -678,6 +725,10 @@
         return;
     }
     m_gateway.quarantine().recordSilence(m_fingerprint, m_incarnation, m_lastActivityAt, now);
+    if (!m_firstByteSeen) {
+        m_gateway.parts().quarantine().recordSilence(
+            m_sharedParts, m_fingerprint, m_admitted.team, m_incarnation, m_lastActivityAt);
+    }
     m_gateway.metrics().count("cyclamenturn_crash_reports", {{"from", "own"}});
     logCrashEvidence("crash_suspected", "silence");
 }
@@ -860,6 +911,9 @@
     if (const int crashes = m_gateway.quarantine().crashes(m_fingerprint, now)) {
         event.field("fingerprint", std::to_string(m_fingerprint)).field("crashes", crashes);
     }
+    if (m_partVerdict) {
+        event.field("part", std::to_string(m_partVerdict->part)).field("part_crashes", m_partVerdict->crashes);
+    }
     if (m_configuration) {
         event.field("configuration", static_cast<long long>(m_configuration->version()));
     }
--- a/src/gateway/requestflow.h
+++ b/src/gateway/requestflow.h
@@ -7,6 +7,7 @@
 #include "callerresponse.h"
 #include "endpointlimit.h"
 #include "eventsplitter.h"
+#include "partquarantine.h"
 #include "permitdecision.h"
 #include "placement.h"
 #include "resendpolicy.h"
@@ -17,6 +18,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace Cyclamenturn
 {
@@ -33,6 +35,8 @@
     void start();
     /** Continues a request that waited for the first configuration. */
     void resume();
+    /** Ends the request if a part of its prompt was quarantined, unless its answer has begun. */
+    void withdrawIfQuarantined();
 
 private:
     /** Whether the caller still waits. Otherwise the request has been ended, without a send that would be in vain. */
@@ -44,6 +48,9 @@
     void exchangeFailed(ExchangeFailure failure) override;
 
     void admit();
+    /** Whether a part of the prompt is quarantined. */
+    bool hasQuarantinedPart();
+    void refuseQuarantinedPart();
     /** Refuses the request and returns true when this process is too far behind for it. */
     bool refuseIfBehind();
     void sendToEndpoint();
@@ -125,6 +132,10 @@
     AdmittedRequest m_admitted;
     std::string m_service;
     std::uint64_t m_fingerprint = 0;
+    /** The parts of the prompt that others may share. */
+    std::vector<PartKey> m_sharedParts;
+    /** Why the request is refused because of a part of its prompt. */
+    std::optional<PartVerdict> m_partVerdict;
     TimePoint m_deadline;
     EventLoop::Timer m_deadlineTimer;
 
