A stream that was closed and then reset isn't delivered as complete

A response with neither length nor chunks ends with its connection. If the endpoint closed and then reset the connection before the gateway read its end, the caller got a stream that looked complete: the operating system reports the close first, and the reset only as the socket's error. The gateway now asks for that error at each close.

--- a/src/transport/tcpconnection.cpp
+++ b/src/transport/tcpconnection.cpp
@@ -144,10 +144,16 @@
     }
 }
 
-bool TcpConnection::finishConnecting()
+int TcpConnection::socketError() const
 {
     int error = 0;
     m_socket.getOption(SOL_SOCKET, SO_ERROR, error);
+    return error;
+}
+
+bool TcpConnection::finishConnecting()
+{
+    const int error = socketError();
     if (error != 0) {
         reportDisconnect(error == ECONNREFUSED ? DisconnectReason::Refused : DisconnectReason::Lost);
         return false;
@@ -196,7 +202,8 @@
         return;
     }
     if (count == 0) {
-        reportDisconnect(DisconnectReason::ClosedByPeer);
+        // A reset that has followed the close isn't reported by the read.
+        reportDisconnect(socketError() == 0 ? DisconnectReason::ClosedByPeer : DisconnectReason::Lost);
         return;
     }
     if (count > 0) {
--- a/src/transport/tcpconnection.h
+++ b/src/transport/tcpconnection.h
@@ -86,6 +86,8 @@
     {
         return m_listener->workKind();
     }
+    /** Returns and clears the error that is pending at the socket, 0 if there is none. */
+    int socketError() const;
     /** Returns false when the connection has ended or the listener has destroyed it. */
     bool finishConnecting();
     /** Returns false when the connection has ended or the listener has destroyed it. */
--- a/test/fuzz/parsers.cpp
+++ b/test/fuzz/parsers.cpp
@@ -10,6 +10,7 @@
 #include "gateway/endpointlist.h"
 #include "gateway/eventsplitter.h"
 #include "gateway/gatewaysettings.h"
+#include "gateway/partquarantine.h"
 #include "gateway/peerdigest.h"
 #include "gateway/permitmessages.h"
 #include "messageheaders.h"
@@ -27,7 +28,7 @@
 namespace
 {
 
-constexpr int PARSER_COUNT = 17;
+constexpr int PARSER_COUNT = 19;
 
 void admit(const std::string &text)
 {
@@ -81,6 +82,49 @@
     }
 }
 
+/**
+ * Receives the text, in two pieces, as the body of an event stream that ends with its connection. Aborts if the body
+ * that is passed on isn't the text, or if the end isn't recognized as one.
+ */
+void receiveUnframedStream(const std::string &text)
+{
+    std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+    HttpParser response = HttpParser::forResponse(HttpLimits(), false);
+    response.consume(head);
+    EventSplitter splitter;
+    std::string received;
+    for (std::string piece : {text.substr(0, text.size() / 2), text.substr(text.size() / 2)}) {
+        response.consume(piece);
+        for (const auto &event : splitter.add(response.takeBody())) {
+            received += event;
+        }
+    }
+    const bool isWhole = response.finishAtEof() && !response.isFramed();
+    if (!isWhole || received + splitter.rest() != text) {
+        std::abort();
+    }
+}
+
+/** Aborts if evidence changes when it is encoded and decoded again, apart from what exceeds the limits. */
+void parsePartEvidence(const std::string &text)
+{
+    PartEvidence evidence;
+    if (!decodePartEvidence(text, at(0), evidence) || evidence.crashes.size() > PartEvidence::MAX_CRASHES
+        || evidence.answers.size() > PartEvidence::MAX_ANSWERS) {
+        return;
+    }
+    PartEvidence again;
+    const bool isDecoded = decodePartEvidence(encodePartEvidence(evidence, at(0)), at(0), again);
+    if (!isDecoded || !(again.crashes == evidence.crashes) || !(again.answers == evidence.answers)) {
+        std::abort();
+    }
+    PartQuarantine quarantine;
+    quarantine.merge(evidence, at(0));
+    quarantine.takeNewVerdicts(at(1000));
+    quarantine.evidence(at(1000));
+    quarantine.expire(at(2000));
+}
+
 void parse(int parser, const std::string &text)
 {
     switch (parser) {
@@ -134,6 +178,12 @@
     case 15:
         splitEvents(text);
         break;
+    case 16:
+        receiveUnframedStream(text);
+        break;
+    case 17:
+        parsePartEvidence(text);
+        break;
     default:
         admit(text);
         break;
