--- a/tools/cyclamenturnctl.cpp
+++ b/tools/cyclamenturnctl.cpp
@@ -410,7 +410,7 @@
     }
     const Json::Value &status = process.status;
     out << std::setw(8) << status.get("role", "").asString() << std::setw(16)
-        << status.get("failure_domain", "").asString() << std::setw(10) << process.revision()
+        << status.get("failure_domain", "").asString() << std::setw(16) << process.revision()
         << (status.get("ready", false).asBool() ? "ready" : "not ready");
     if (status.isMember("figures")) {
         const Json::Value &agentStatus = status["figures"];
