Gateway: evidence about crashing requests in a class of its own

RequestFlow decided about sends and gathered evidence in the same functions. CrashWitness keeps what the attempts of one request say about its endpoints; no behaviour changes. Unit tests, processes_crashing_requests, processes_behind, processes_unframed and partload pass.

--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -5,7 +5,6 @@
 
 #include "eventlog.h"
 #include "gateway.h"
-#include "rendezvoushash.h"
 
 #include <algorithm>
 
@@ -42,22 +41,13 @@
     return status >= 200 && status < 300;
 }
 
-/** The ids of the parts that other prompts may share. */
-std::string sharedPartIds(const std::optional<PromptTraits> &prompt)
-{
-    std::string out;
-    for (std::size_t i = 0; prompt && i + 1 < prompt->parts.size(); ++i) {
-        out += (i > 0 ? "," : "") + prompt->parts[i].id;
-    }
-    return out;
-}
-
 }
 
 RequestFlow::RequestFlow(Gateway &gateway, HttpServerConnectionPtr caller, ReceivedRequest request)
     : m_gateway(gateway)
     , m_callerResponse(std::move(caller), request.arrivedAfter)
     , m_request(std::move(request))
+    , m_witness(gateway.loop(), {gateway.quarantine(), gateway.parts(), gateway.metrics()})
 {
 }
 
@@ -103,17 +93,15 @@
     }
     m_admitted = std::get<AdmittedRequest>(result);
     m_service = chooseService(*m_admitted.route, m_gateway.randomFraction());
-    m_fingerprint = contentHash(m_request.head.target + "\n" + m_admitted.team + "\n" + m_request.body);
-    if (m_gateway.quarantine().isQuarantined(m_fingerprint, now)) {
+    m_witness.setRequest(m_traits.attemptId, m_admitted.team,
+        m_request.head.target + "\n" + m_admitted.team + "\n" + m_request.body, m_traits.prompt);
+    if (m_witness.isRequestQuarantined()) {
         refuse(GatewayRefusal::Quarantined);
         return;
     }
-    if (m_traits.prompt) {
-        m_sharedParts = sharedParts(*m_traits.prompt);
-        if (hasQuarantinedPart()) {
-            refuseQuarantinedPart();
-            return;
-        }
+    if (const auto &verdict = m_witness.judgeParts()) {
+        refuseQuarantinedPart(*verdict);
+        return;
     }
     m_deadline = m_request.arrivedAfter
         + std::min(m_admitted.route->timeout, m_traits.callerTimeout.value_or(DEFAULT_CALLER_TIMEOUT));
@@ -135,32 +123,25 @@
     sendToEndpoint();
 }
 
-bool RequestFlow::hasQuarantinedPart()
-{
-    if (m_sharedParts.empty()) {
-        return false;
-    }
-    m_partVerdict = m_gateway.parts().quarantine().verdict(m_sharedParts, m_admitted.team, m_gateway.loop().now());
-    return m_partVerdict.has_value();
-}
-
-void RequestFlow::refuseQuarantinedPart()
+void RequestFlow::refuseQuarantinedPart(const PartVerdict &verdict)
 {
     if (m_callerResponse.isStreamStarted() || m_mayHaveRun) {
         giveUp(AttemptOutcome::NotRun, GatewayRefusal::Quarantined);
         return;
     }
-    refuse(GatewayRefusal::Quarantined, m_partVerdict->until - m_gateway.loop().now());
+    refuse(GatewayRefusal::Quarantined, verdict.until - m_gateway.loop().now());
 }
 
 void RequestFlow::withdrawIfQuarantined()
 {
-    if (m_finished || (m_connection && m_firstByteSeen) || !hasQuarantinedPart()) {
+    if (m_finished || (m_connection && m_firstByteSeen)) {
         return;
     }
-    m_mayHaveRun = m_mayHaveRun || (m_connection && m_connection->isConnected());
-    endAttempt(false);
-    refuseQuarantinedPart();
+    if (const auto &verdict = m_witness.judgeParts()) {
+        m_mayHaveRun = m_mayHaveRun || (m_connection && m_connection->isConnected());
+        endAttempt(false);
+        refuseQuarantinedPart(*verdict);
+    }
 }
 
 bool RequestFlow::refuseIfBehind()
@@ -244,11 +225,11 @@
 {
     const bool isLate = timeLeft() <= Duration();
     const bool hasLeft = m_gateway.loop().lag() > UNNOTICED_LEAVE_TIME && m_callerResponse.isClosedByCaller();
-    const bool isQuarantined = hasQuarantinedPart();
-    if (!isLate && !hasLeft && !isQuarantined) {
+    const std::optional<PartVerdict> verdict = m_witness.judgeParts();
+    if (!isLate && !hasLeft && !verdict) {
         return true;
     }
-    const char *reason = hasLeft ? "caller_left" : isQuarantined ? "quarantined" : "timed_out";
+    const char *reason = hasLeft ? "caller_left" : verdict ? "quarantined" : "timed_out";
     m_gateway.metrics().count("cyclamenturn_sends_avoided", {{"reason", reason}});
     if (m_connection) {
         // The connection was established for this request, but no byte of it was sent.
@@ -258,8 +239,8 @@
     if (hasLeft) {
         m_callerResponse.abortStream();
         callerDisconnected();
-    } else if (isQuarantined) {
-        refuseQuarantinedPart();
+    } else if (verdict) {
+        refuseQuarantinedPart(*verdict);
     } else {
         deadlineReached();
     }
@@ -390,7 +371,7 @@
     m_placement.endpoint = nullptr;
     m_connection = std::move(connection);
     m_sentAt = now;
-    m_lastActivityAt = now;
+    m_witness.attemptStarted(m_endpoint.id, m_incarnation);
     m_firstByteSeen = false;
     clearResponseBody();
     m_splitter.clear();
@@ -447,7 +428,7 @@
     if (!m_connection || !mayResend(AttemptOutcome::ResponseLost)) {
         return;
     }
-    recordSilence();
+    noteSilence();
     m_gateway.statistics(m_endpoint.id).noteResult(EndpointResult::NoResponse, m_gateway.loop().now());
     m_gateway.metrics().count("cyclamenturn_resends", {{"reason", "silent"}});
     endAttempt(false);
@@ -467,7 +448,7 @@
     EndpointStatistics &statistics = m_gateway.statistics(m_endpoint.id);
     m_firstByteSeen = true;
     if (isSuccess(m_responseHead.status)) {
-        m_gateway.parts().quarantine().noteAnswer(m_sharedParts, now);
+        m_witness.answerBegan();
     }
     statistics.noteFirstEvent(m_placement.prefillTokens);
     if (m_placement.expectedMs > 0) {
@@ -482,12 +463,11 @@
 void RequestFlow::headReceived(const HttpResponseHead &head)
 {
     const TimePoint now = m_gateway.loop().now();
-    m_lastActivityAt = now;
+    m_witness.byteReceived();
     m_responseHead = head;
     m_responseTraits = m_gateway.messages().decodeResponse(head);
     if (!m_responseTraits.isOtherInstance) {
-        m_gateway.quarantine().noteResponse(m_incarnation, m_sentAt);
-        m_gateway.parts().quarantine().noteResponse(m_incarnation);
+        m_witness.responded();
     }
     if (m_responseTraits.load) {
         m_gateway.statistics(m_endpoint.id).noteLoad(*m_responseTraits.load, now);
@@ -518,7 +498,7 @@
 
 void RequestFlow::bodyReceived(std::string piece)
 {
-    m_lastActivityAt = m_gateway.loop().now();
+    m_witness.byteReceived();
     if (!m_firstByteSeen) {
         handleFirstResponseByte();
     }
@@ -603,7 +583,7 @@
                 AttemptOutcome::ResponseLost, EndpointResult::FailureResponse, GatewayRefusal::EndpointMalformed);
             return;
         }
-        m_gateway.quarantine().clearSuspect(m_fingerprint, now);
+        m_witness.completed();
         endAttempt(isReusable);
         finishStream();
         return;
@@ -641,7 +621,7 @@
         return;
     }
     if (isSuccess(m_responseHead.status)) {
-        m_gateway.quarantine().clearSuspect(m_fingerprint, now);
+        m_witness.completed();
     }
     respond({m_responseHead.status, m_responseHead.reason, endToEndFields(m_responseHead.fields)}, m_responseBody,
         isFailure ? "endpoint_failure" : "served");
@@ -651,15 +631,14 @@
 {
     switch (failure) {
     case ExchangeFailure::Refused:
-        m_gateway.quarantine().noteRefusedConnection(m_incarnation, m_gateway.loop().now());
-        m_gateway.parts().quarantine().noteEndpointEnded(m_incarnation);
+        m_witness.connectionRefused();
         attemptFailed(AttemptOutcome::NotSent, EndpointResult::NotConnected, GatewayRefusal::NotReached);
         break;
     case ExchangeFailure::NotConnected:
         attemptFailed(AttemptOutcome::NotSent, EndpointResult::NotConnected, GatewayRefusal::NotReached);
         break;
     case ExchangeFailure::ConnectionLost:
-        recordLostConnection();
+        m_witness.connectionLost();
         attemptFailed(AttemptOutcome::ResponseLost, EndpointResult::ConnectionLost, GatewayRefusal::EndpointLost);
         break;
     case ExchangeFailure::TooLarge:
@@ -671,66 +650,11 @@
     }
 }
 
-void RequestFlow::logCrashEvidence(const char *event, const char *evidence) const
-{
-    const TimePoint now = m_gateway.loop().now();
-    const CrashTally tally = m_gateway.quarantine().tally(m_fingerprint, now);
-    LogEvent(event)
-        .field("request", m_traits.attemptId)
-        .field("fingerprint", std::to_string(m_fingerprint))
-        .field("endpoint", m_endpoint.id)
-        .field("evidence", evidence)
-        .field("silent_ms", toMilliseconds(now - m_lastActivityAt))
-        .field("answered", m_firstByteSeen ? 1 : 0)
-        .field("parts", sharedPartIds(m_traits.prompt))
-        .field("crashes", tally.counted)
-        .field("withdrawn", tally.withdrawn)
-        .field("pending", tally.pending)
-        .field("disputed", tally.disputed);
-}
-
-void RequestFlow::noteIgnoredEvidence(const char *evidence) const
-{
-    m_gateway.metrics().count("cyclamenturn_crash_evidence_ignored", {{"evidence", evidence}});
-    logCrashEvidence("crash_evidence_ignored", evidence);
-}
-
-void RequestFlow::recordLostConnection()
-{
-    if (m_gateway.quarantine().hasEndedBefore(m_incarnation, m_sentAt)) {
-        noteIgnoredEvidence("connection_lost");
-        return;
-    }
-    m_gateway.quarantine().recordCrash(m_fingerprint, m_incarnation, m_gateway.loop().now());
-    if (!m_firstByteSeen) {
-        m_gateway.parts().recordCrash(m_sharedParts, m_fingerprint, m_admitted.team, m_incarnation);
-    }
-    m_gateway.metrics().count("cyclamenturn_crash_reports", {{"from", "own"}});
-    logCrashEvidence("crash_suspected", "connection_lost");
-}
-
-void RequestFlow::recordSilence()
+void RequestFlow::noteSilence()
 {
-    if (!m_connection) {
-        return;
-    }
-    const TimePoint now = m_gateway.loop().now();
-    const Duration enough = std::min(responseTimeout(), CrashQuarantine::SILENCE_TIME);
-    const bool isSilent = m_connection->isConnected() && now - m_lastActivityAt >= enough;
-    if (!isSilent) {
-        return;
+    if (m_connection && m_connection->isConnected()) {
+        m_witness.abandoned(responseTimeout());
     }
-    if (m_gateway.quarantine().wasSilentBefore(m_incarnation, m_sentAt, m_fingerprint)) {
-        noteIgnoredEvidence("silence");
-        return;
-    }
-    m_gateway.quarantine().recordSilence(m_fingerprint, m_incarnation, m_lastActivityAt, now);
-    if (!m_firstByteSeen) {
-        m_gateway.parts().quarantine().recordSilence(
-            m_sharedParts, m_fingerprint, m_admitted.team, m_incarnation, m_lastActivityAt);
-    }
-    m_gateway.metrics().count("cyclamenturn_crash_reports", {{"from", "own"}});
-    logCrashEvidence("crash_suspected", "silence");
 }
 
 void RequestFlow::endAttempt(bool isReusable)
@@ -759,7 +683,7 @@
     if (chooseResend(*m_admitted.route, outcome, state) == ResendChoice::GiveUp) {
         return false;
     }
-    if (m_gateway.quarantine().isQuarantined(m_fingerprint, m_gateway.loop().now())) {
+    if (m_witness.isRequestQuarantined()) {
         m_gateway.metrics().count("cyclamenturn_resends_refused", {{"reason", "quarantined"}});
         return false;
     }
@@ -813,7 +737,7 @@
 void RequestFlow::deadlineReached()
 {
     const bool waiting = m_connection != nullptr && m_connection->isConnected();
-    recordSilence();
+    noteSilence();
     endAttempt(false);
     giveUp(AttemptOutcome::ResponseLost,
         waiting || m_mayHaveRun ? GatewayRefusal::TimedOut : GatewayRefusal::TimedOutUnsent);
@@ -821,7 +745,7 @@
 
 void RequestFlow::callerDisconnected()
 {
-    recordSilence();
+    noteSilence();
     endAttempt(false);
     finish(0, toString(GatewayRefusal::CallerDisconnected));
 }
@@ -908,11 +832,8 @@
             .field("home", m_placement.isHomeEndpoint ? 1 : 0)
             .field("long_answer_endpoints", static_cast<long long>(m_placement.longAnswerEndpoints));
     }
-    if (const int crashes = m_gateway.quarantine().crashes(m_fingerprint, now)) {
-        event.field("fingerprint", std::to_string(m_fingerprint)).field("crashes", crashes);
-    }
-    if (m_partVerdict) {
-        event.field("part", std::to_string(m_partVerdict->part)).field("part_crashes", m_partVerdict->crashes);
+    if (route != nullptr) {
+        m_witness.log(event);
     }
     if (m_configuration) {
         event.field("configuration", static_cast<long long>(m_configuration->version()));
--- a/src/gateway/requestflow.h
+++ b/src/gateway/requestflow.h
@@ -5,9 +5,9 @@
 
 #include "admitrequest.h"
 #include "callerresponse.h"
+#include "crashwitness.h"
 #include "endpointlimit.h"
 #include "eventsplitter.h"
-#include "partquarantine.h"
 #include "permitdecision.h"
 #include "placement.h"
 #include "resendpolicy.h"
@@ -18,7 +18,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <vector>
 
 namespace Cyclamenturn
 {
@@ -48,9 +47,7 @@
     void exchangeFailed(ExchangeFailure failure) override;
 
     void admit();
-    /** Whether a part of the prompt is quarantined. */
-    bool hasQuarantinedPart();
-    void refuseQuarantinedPart();
+    void refuseQuarantinedPart(const PartVerdict &verdict);
     /** Refuses the request and returns true when this process is too far behind for it. */
     bool refuseIfBehind();
     void sendToEndpoint();
@@ -88,16 +85,8 @@
     void finishStream();
     void finishPlainResponse();
 
-    /** Logs `event` about an attempt whose connection was lost or stayed silent, which is evidence that the request may
-     * have crashed the endpoint. */
-    void logCrashEvidence(const char *event, const char *evidence) const;
-    /** Logs and counts evidence that isn't held against the request, since its endpoint had crashed before. */
-    void noteIgnoredEvidence(const char *evidence) const;
-    /** Records the attempt as a possible crash, unless its endpoint had crashed before it was sent. */
-    void recordLostConnection();
-    /** Records the attempt in progress, if any, as a possible crash when it is given up without a recent byte from its
-     * endpoint. */
-    void recordSilence();
+    /** Tells the witness that the attempt in progress, if any, is given up without a response. */
+    void noteSilence();
     /** Returns the attempt's connection to the pool when it is reusable, and closes it otherwise. */
     void endAttempt(bool isReusable);
     /** Handles a failed attempt: sends the request to another endpoint, or ends it with `reason`. */
@@ -127,15 +116,11 @@
     Gateway &m_gateway;
     CallerResponse m_callerResponse;
     ReceivedRequest m_request;
+    CrashWitness m_witness;
     RequestTraits m_traits;
     RoutingConfigurationPtr m_configuration;
     AdmittedRequest m_admitted;
     std::string m_service;
-    std::uint64_t m_fingerprint = 0;
-    /** The parts of the prompt that others may share. */
-    std::vector<PartKey> m_sharedParts;
-    /** Why the request is refused because of a part of its prompt. */
-    std::optional<PartVerdict> m_partVerdict;
     TimePoint m_deadline;
     EventLoop::Timer m_deadlineTimer;
 
@@ -146,8 +131,6 @@
     std::string m_incarnation;
     Placement m_placement;
     TimePoint m_sentAt;
-    /** When the request was sent or the last byte of the response arrived. */
-    TimePoint m_lastActivityAt;
     EventLoop::Timer m_responseTimer;
     HttpResponseHead m_responseHead;
     ResponseTraits m_responseTraits;
