Many crashes at short intervals don't keep a bad part from being found

With a fifth of the prompts bad on the grown sites, an endpoint ended every 30 ms.

A suspect keeps two reports a moment, the first and the latest ones; the parts that each crash interrupted are remembered apart; reports of crashes with a known cause aren't passed on to gateways that start.

The unit tests of short intervals and of a gateway that has just started cover it; the latter failed without the last change.

--- a/src/gateway/partquarantine.cpp
+++ b/src/gateway/partquarantine.cpp
@@ -66,7 +66,7 @@
     const std::string &endpoint, TimePoint now)
 {
     for (const PartKey part : parts) {
-        add({part, static_cast<std::uint32_t>(request), shortHash(team), contentHash(endpoint), now}, true);
+        addOwn({part, static_cast<std::uint32_t>(request), shortHash(team), contentHash(endpoint), now});
         m_recordedAt = now;
     }
 }
@@ -90,7 +90,7 @@
     for (const auto &pending : m_pending) {
         if (pending.endpoint == endpoint) {
             for (const auto &crash : pending.crashes) {
-                add(crash, true);
+                addOwn(crash);
             }
         }
     }
@@ -129,7 +129,7 @@
 {
     for (const auto &crash : evidence.crashes) {
         if (crash.at + MEMORY_TIME > now) {
-            add(crash, false);
+            add(crash);
         }
     }
     for (const auto &answer : evidence.answers) {
@@ -161,96 +161,126 @@
     return std::nullopt;
 }
 
-void PartQuarantine::add(const PartCrash &crash, bool isOwn)
+void PartQuarantine::addOwn(const PartCrash &crash)
+{
+    m_ownReports.push_back(crash);
+    add(crash);
+}
+
+void PartQuarantine::add(const PartCrash &crash)
 {
     if (m_suspects.size() >= MAX_SUSPECTS && m_suspects.count(crash.part) == 0) {
         return;
     }
+    noteInterrupted(crash);
     auto &crashes = m_suspects[crash.part].crashes;
-    const auto known = std::find_if(crashes.begin(), crashes.end(), [&crash](const Crash &other) {
-        return other.report.endpoint == crash.endpoint && other.report.request == crash.request
-            && isSameCrash(other.report.at, crash.at);
+    const auto known = std::find_if(crashes.begin(), crashes.end(), [&crash](const PartCrash &other) {
+        return other.endpoint == crash.endpoint && other.request == crash.request && isSameCrash(other.at, crash.at);
     });
     if (known != crashes.end()) {
         // Each gateway that passes a report on makes it a little younger.
-        known->report.at = std::min(known->report.at, crash.at);
-        known->isOwn = known->isOwn || isOwn;
+        known->at = std::min(known->at, crash.at);
         return;
     }
-    const auto place = std::upper_bound(crashes.begin(), crashes.end(), crash.at,
-        [](TimePoint at, const Crash &other) { return at < other.report.at; });
-    crashes.insert(place, {crash, isOwn});
+    const auto sameMoment = std::count_if(crashes.begin(), crashes.end(), [&crash](const PartCrash &other) {
+        return other.at - crash.at < SAME_MOMENT && crash.at - other.at < SAME_MOMENT;
+    });
+    if (static_cast<std::size_t>(sameMoment) >= MAX_REPORTS_PER_MOMENT) {
+        return;
+    }
+    crashes.insert(std::upper_bound(crashes.begin(), crashes.end(), crash,
+                       [](const PartCrash &a, const PartCrash &b) { return a.at < b.at; }),
+        crash);
     if (crashes.size() > MAX_CRASHES_PER_PART) {
-        crashes.erase(crashes.begin());
+        thinOut(crash.part, crashes);
     }
     m_isChanged = true;
 }
 
+void PartQuarantine::thinOut(PartKey part, std::vector<PartCrash> &crashes) const
+{
+    // The first of those that count have settled soonest, and the latest ones tell how long the quarantine lasts.
+    const auto answered = answeredAt(part);
+    const bool isFirstAnswered = answered && *answered >= crashes.front().at + ANSWER_MARGIN;
+    crashes.erase(isFirstAnswered ? crashes.begin() : crashes.begin() + MAX_CRASHES_PER_PART / 2);
+}
+
 std::vector<PartCrash> PartQuarantine::unansweredCrashes(PartKey part, const Suspect &suspect) const
 {
     const auto answered = answeredAt(part);
     std::vector<PartCrash> out;
     for (const auto &crash : suspect.crashes) {
-        if (!answered || *answered < crash.report.at + ANSWER_MARGIN) {
-            out.push_back(crash.report);
+        if (!answered || *answered < crash.at + ANSWER_MARGIN) {
+            out.push_back(crash);
         }
     }
     return out;
 }
 
-void PartQuarantine::indexCrashes()
+void PartQuarantine::noteInterrupted(const PartCrash &crash)
 {
-    m_crashes.clear();
-    for (const auto &[part, suspect] : m_suspects) {
-        for (const auto &crash : suspect.crashes) {
-            auto &known = m_crashes[crash.report.endpoint];
-            auto found = std::find_if(known.begin(), known.end(),
-                [&crash](const CrashedEndpoint &other) { return isSameCrash(other.at, crash.report.at); });
-            if (found == known.end()) {
-                found = known.insert(known.end(), {crash.report.at, {}});
-            }
-            if (std::find(found->parts.begin(), found->parts.end(), part) == found->parts.end()) {
-                found->parts.push_back(part);
-            }
-        }
+    const auto found = std::find_if(m_crashedEndpoints.begin(), m_crashedEndpoints.end(),
+        [&crash](const auto &known) { return known.endpoint == crash.endpoint && isSameCrash(known.at, crash.at); });
+    if (found == m_crashedEndpoints.end()) {
+        m_crashedEndpoints.push_back({crash.endpoint, crash.at, {crash.part}});
+        return;
+    }
+    auto &parts = found->parts;
+    if (parts.size() < MAX_PARTS_PER_CRASH && std::find(parts.begin(), parts.end(), crash.part) == parts.end()) {
+        parts.push_back(crash.part);
     }
 }
 
-const PartQuarantine::CrashedEndpoint *PartQuarantine::findCrash(const PartCrash &crash) const
+const std::vector<PartKey> *PartQuarantine::interruptedParts(const PartCrash &crash) const
 {
-    const auto known = m_crashes.find(crash.endpoint);
-    if (known == m_crashes.end()) {
-        return nullptr;
-    }
-    const auto found = std::find_if(known->second.begin(), known->second.end(),
-        [&crash](const CrashedEndpoint &other) { return isSameCrash(other.at, crash.at); });
-    return found == known->second.end() ? nullptr : &*found;
+    const auto found = std::find_if(m_crashedEndpoints.begin(), m_crashedEndpoints.end(),
+        [&crash](const auto &known) { return known.endpoint == crash.endpoint && isSameCrash(known.at, crash.at); });
+    return found == m_crashedEndpoints.end() ? nullptr : &found->parts;
+}
+
+bool PartQuarantine::isExplained(const PartCrash &crash) const
+{
+    const std::vector<PartKey> *parts = m_verdicts.count(crash.part) == 0 ? interruptedParts(crash) : nullptr;
+    return parts != nullptr
+        && std::any_of(parts->begin(), parts->end(), [this](PartKey part) { return m_verdicts.count(part) != 0; });
 }
 
 bool PartQuarantine::hasOtherCause(const PartCrash &crash, const std::unordered_map<PartKey, int> &counts) const
 {
-    const CrashedEndpoint *endpoint = findCrash(crash);
-    if (endpoint == nullptr) {
+    const std::vector<PartKey> *parts = interruptedParts(crash);
+    if (parts == nullptr) {
         return false;
     }
     const auto countOf = [&counts](PartKey part) {
         const auto found = counts.find(part);
         return found == counts.end() ? 0 : found->second;
     };
-    const int ownCount = countOf(crash.part);
-    return std::any_of(endpoint->parts.begin(), endpoint->parts.end(), [&](PartKey other) {
+    return isExplained(crash) || std::any_of(parts->begin(), parts->end(), [&](PartKey other) {
         if (other == crash.part) {
             return false;
         }
-        if (m_verdicts.count(other) != 0) {
-            return true;
+        if (partPlace(other) != partPlace(crash.part)) {
+            return partPlace(other) > partPlace(crash.part) && countOf(other) > 1;
         }
-        const int count = countOf(other);
-        return partPlace(other) > partPlace(crash.part) ? count > 1
-                                                        : partPlace(other) == partPlace(crash.part) && count > ownCount;
+        return countOf(other) > countOf(crash.part);
     });
 }
 
+bool PartQuarantine::isQuarantineKept(PartKey part, const std::vector<PartCrash> &crashes) const
+{
+    std::vector<PartCrash> unexplained;
+    for (const auto &crash : crashes) {
+        const std::vector<PartKey> *parts = interruptedParts(crash);
+        const auto isLaterCause = [this, part](PartKey other) {
+            return partPlace(other) > partPlace(part) && m_verdicts.count(other) != 0;
+        };
+        if (parts == nullptr || std::none_of(parts->begin(), parts->end(), isLaterCause)) {
+            unexplained.push_back(crash);
+        }
+    }
+    return countCrashes(unexplained) >= CRASH_LIMIT;
+}
+
 void PartQuarantine::judge(TimePoint now)
 {
     std::unordered_map<PartKey, int> counts;
@@ -269,13 +299,16 @@
     if (candidates.empty()) {
         return;
     }
-    indexCrashes();
     std::sort(candidates.begin(), candidates.end(), [&counts](PartKey a, PartKey b) {
         return std::make_tuple(-partPlace(a), -counts[a], a) < std::make_tuple(-partPlace(b), -counts[b], b);
     });
     for (const PartKey part : candidates) {
-        std::vector<PartCrash> counted = unansweredCrashes(part, m_suspects[part]);
         const bool isKnown = m_verdicts.count(part) != 0;
+        std::vector<PartCrash> counted = unansweredCrashes(part, m_suspects[part]);
+        if (isKnown && !isQuarantineKept(part, counted)) {
+            m_verdicts.erase(part);
+            continue;
+        }
         const auto isNotCounted = [&](const PartCrash &crash) {
             return now - crash.at < SETTLING_TIME || hasOtherCause(crash, counts);
         };
@@ -339,30 +372,40 @@
 {
     std::vector<PartCrash> repeated;
     std::vector<PartCrash> own;
+    std::unordered_set<PartKey> repeatedParts;
     PartEvidence out;
     for (const auto &[part, suspect] : m_suspects) {
-        const bool isRecent = now < suspect.crashes.back().report.at + OWN_REPORT_TIME;
+        const bool isRecent = now < suspect.crashes.back().at + OWN_REPORT_TIME;
         const auto answered = answeredAt(part);
         if (answered && isRecent) {
             out.answers.push_back({part, *answered});
         }
-        const std::vector<PartCrash> unanswered = unansweredCrashes(part, suspect);
+        std::vector<PartCrash> unanswered = unansweredCrashes(part, suspect);
+        // A gateway that has just started would learn these without their cause.
+        unanswered.erase(std::remove_if(unanswered.begin(), unanswered.end(),
+                             [this](const PartCrash &crash) { return isExplained(crash); }),
+            unanswered.end());
         if (countCrashes(unanswered) > 1) {
+            repeatedParts.insert(part);
             const auto selected = distinctCrashes(unanswered, CRASH_LIMIT + 1);
             repeated.insert(repeated.end(), selected.begin(), selected.end());
-            continue;
         }
-        for (const auto &crash : suspect.crashes) {
-            if (crash.isOwn && now < crash.report.at + OWN_REPORT_TIME) {
-                own.push_back(crash.report);
-            }
+    }
+    for (const auto &crash : m_ownReports) {
+        // Each crash of a part with several also explains why other prompts were interrupted.
+        const bool isRepeated = repeatedParts.count(crash.part) != 0;
+        if (now < crash.at + (isRepeated ? FRESH_TIME : OWN_REPORT_TIME) && !isExplained(crash)) {
+            own.push_back(crash);
         }
     }
     const auto isLater = [](const auto &a, const auto &b) {
         return a.at > b.at;
     };
     std::sort(repeated.begin(), repeated.end(), isLater);
-    std::sort(own.begin(), own.end(), isLater);
+    // Later parts are shared by fewer prompts, and so are more likely to be the cause.
+    std::sort(own.begin(), own.end(), [](const PartCrash &a, const PartCrash &b) {
+        return std::make_tuple(-partPlace(a.part), b.at) < std::make_tuple(-partPlace(b.part), a.at);
+    });
     std::sort(out.answers.begin(), out.answers.end(), isLater);
     const std::size_t ownCount = std::min(own.size(), PartEvidence::MAX_CRASHES / 2);
     repeated.resize(std::min(repeated.size(), PartEvidence::MAX_CRASHES - ownCount));
@@ -377,7 +420,7 @@
     for (auto it = m_suspects.begin(); it != m_suspects.end();) {
         auto &crashes = it->second.crashes;
         crashes.erase(std::remove_if(crashes.begin(), crashes.end(),
-                          [now](const Crash &crash) { return crash.report.at + MEMORY_TIME <= now; }),
+                          [now](const PartCrash &crash) { return crash.at + MEMORY_TIME <= now; }),
             crashes.end());
         it = crashes.empty() ? m_suspects.erase(it) : std::next(it);
     }
--- a/src/gateway/partquarantine.h
+++ b/src/gateway/partquarantine.h
@@ -50,7 +50,13 @@
     /** How long a gateway reports a crash that it recorded itself. */
     static constexpr Duration OWN_REPORT_TIME = milliseconds(10000);
     static constexpr std::size_t MAX_SUSPECTS = 1024;
-    static constexpr std::size_t MAX_CRASHES_PER_PART = 12;
+    static constexpr std::size_t MAX_CRASHES_PER_PART = 16;
+    static constexpr std::size_t MAX_REPORTS_PER_MOMENT = 2;
+    /** Reports of this gateway that the others may not have yet. */
+    static constexpr std::size_t MAX_OWN_REPORTS = 256;
+    /** Crashes of endpoints, and parts of each, that are remembered to find the most likely cause. */
+    static constexpr std::size_t MAX_CRASHED_ENDPOINTS = 512;
+    static constexpr std::size_t MAX_PARTS_PER_CRASH = 64;
     /** Silent requests that wait for the end of their endpoint to be known. */
     static constexpr std::size_t MAX_PENDING = 1024;
     /** Parts of which the latest answer is remembered. */
@@ -101,15 +107,11 @@
 private:
     static constexpr Duration FRESH_TIME = milliseconds(1500);
 
-    struct Crash
-    {
-        PartCrash report;
-        bool isOwn = false;
-    };
     struct Suspect
     {
-        /** In the order of their times; at most MAX_CRASHES_PER_PART, the latest ones. */
-        std::vector<Crash> crashes;
+        /** In the order of their times. At most MAX_REPORTS_PER_MOMENT within SAME_MOMENT, so that many crashes at
+         * short intervals don't displace those before them. */
+        std::vector<PartCrash> crashes;
     };
     struct Pending
     {
@@ -125,11 +127,13 @@
     /** The parts of the prompts that one crash of an endpoint interrupted. */
     struct CrashedEndpoint
     {
+        std::uint64_t endpoint = 0;
         TimePoint at;
         std::vector<PartKey> parts;
     };
 
-    void add(const PartCrash &crash, bool isOwn);
+    void add(const PartCrash &crash);
+    void addOwn(const PartCrash &crash);
     std::optional<TimePoint> answeredAt(PartKey part) const;
     /** Whether the service works for prompts without the part, as far as this has to be known to quarantine it. */
     bool isServiceWorking(PartKey part, TimePoint since) const;
@@ -139,17 +143,27 @@
     /** Judges all suspects anew if the evidence or its age may have changed the result. */
     void update(TimePoint now);
     void judge(TimePoint now);
-    /** Whether the crash has a more likely cause than `part`, by the numbers of crashes in `counts`. */
+    /** Drops one crash of a suspect that has too many. */
+    void thinOut(PartKey part, std::vector<PartCrash> &crashes) const;
+    /** Whether `part` is still to be refused: answers and the crashes of later parts that were found meanwhile speak
+     * for it, other parts in the same place don't, since their numbers change with each crash. */
+    bool isQuarantineKept(PartKey part, const std::vector<PartCrash> &crashes) const;
+    /** Whether the crash has a more likely cause than its part, by the numbers of crashes in `counts`. */
     bool hasOtherCause(const PartCrash &crash, const std::unordered_map<PartKey, int> &counts) const;
-    const CrashedEndpoint *findCrash(const PartCrash &crash) const;
-    void indexCrashes();
+    /** Whether a quarantined part caused the crash, and not its part. */
+    bool isExplained(const PartCrash &crash) const;
+    /** Notes that the part was in a prompt that the crash interrupted. */
+    void noteInterrupted(const PartCrash &crash);
+    /** The parts of the prompts that the crash interrupted. */
+    const std::vector<PartKey> *interruptedParts(const PartCrash &crash) const;
 
     /** Never holds a suspect without crashes. */
     std::unordered_map<PartKey, Suspect> m_suspects;
     std::unordered_map<PartKey, Quarantine> m_verdicts;
     std::vector<PartVerdict> m_newVerdicts;
-    /** By endpoint. */
-    std::unordered_map<std::uint64_t, std::vector<CrashedEndpoint>> m_crashes;
+    boost::circular_buffer<PartCrash> m_ownReports{MAX_OWN_REPORTS};
+    /** In the order in which this gateway learned of them. */
+    boost::circular_buffer<CrashedEndpoint> m_crashedEndpoints{MAX_CRASHED_ENDPOINTS};
     std::vector<Pending> m_pending;
     /** Latest answers in two generations; the older one is dropped when the newer one is full. */
     std::unordered_map<PartKey, TimePoint> m_answered;
--- a/test/correctness/partquarantine.cpp
+++ b/test/correctness/partquarantine.cpp
@@ -188,6 +188,41 @@
     REQUIRE_FALSE(isRefused(quarantine, {"root", "s-1"}, 5000));
 }
 
+TEST_CASE(
+    "crashes at short intervals are recognized once the first ones have settled, and explain all they interrupted")
+{
+    PartQuarantine quarantine;
+    Crashes crashes(quarantine);
+    int refusedFrom = 0;
+    for (int ms = 0; ms < 5000; ms += 30) {
+        crashes.add({{"root", "subject", "bad"}, {"root", "subject", "bad"}, {"root", "unlucky"}}, ms);
+        if (refusedFrom == 0 && isRefused(quarantine, {"root", "x", "bad"}, ms)) {
+            refusedFrom = ms;
+        }
+        REQUIRE_FALSE(isRefused(quarantine, {"root", "unlucky"}, ms));
+        REQUIRE_FALSE(isRefused(quarantine, {"root", "subject"}, ms));
+    }
+    REQUIRE(refusedFrom > 0);
+    REQUIRE(refusedFrom <= 1200);
+    REQUIRE(isRefused(quarantine, {"root", "x", "bad"}, 60000));
+}
+
+TEST_CASE("the reports of a gateway reach another one however many crashes there are")
+{
+    PartQuarantine observer;
+    PartQuarantine other;
+    for (int i = 0; i < 100; ++i) {
+        const std::string endpoint = "e" + std::to_string(i);
+        observer.recordCrash(
+            parts({"root", "s", "bad"}), static_cast<std::uint64_t>(2 * i), "team-1", endpoint, at(30 * i));
+        observer.recordCrash(
+            parts({"root", "unlucky"}), static_cast<std::uint64_t>(2 * i + 1), "team-1", endpoint, at(30 * i));
+        other.merge(observer.evidence(at(30 * i + 20)), at(30 * i + 20));
+    }
+    REQUIRE(isRefused(other, {"root", "x", "bad"}, 3100));
+    REQUIRE_FALSE(isRefused(other, {"root", "unlucky"}, 3100));
+}
+
 TEST_CASE("a silence counts once its endpoint is known to have ended, and not if it responds")
 {
     PartQuarantine quarantine;
@@ -229,6 +264,23 @@
     REQUIRE(isRefused(restarted, {"root", "bad"}, 60000));
 }
 
+TEST_CASE("a gateway that has just started doesn't learn of crashes without their cause")
+{
+    PartQuarantine informed;
+    Crashes crashes(informed);
+    for (int i = 0; i < 4; ++i) {
+        crashes.add({{"root", "x", "bad"}, {"root", "unlucky"}}, 1000 * i);
+    }
+    for (int i = 4; i < 8; ++i) {
+        crashes.add({{"root", "y", "bad"}}, 1000 * i);
+        REQUIRE(isRefused(informed, {"root", "z", "bad"}, 1000 * i + 500));
+    }
+    PartQuarantine restarted;
+    restarted.merge(informed.evidence(at(8000)), at(8000));
+    REQUIRE(isRefused(restarted, {"root", "z", "bad"}, 8500));
+    REQUIRE_FALSE(isRefused(restarted, {"root", "unlucky"}, 8500));
+}
+
 TEST_CASE("a quarantine ends, and the first crash after it begins it again")
 {
     PartQuarantine quarantine;
