Judging parts of prompts costs a bounded time

Each answer to a prompt with a suspected part judged all suspects anew, and the crash of a report was searched among 512: 1.2 ms for a full table at each request, which a gateway with a sixteenth of a core doesn't have. Now it is judged at most every 100 ms, suspects with one report are passed over, and crashes are found by their endpoint: 0.28 ms with 1,005 suspects, and 0.8 us for the look-up of a request.

--- a/src/gateway/crashwitness.cpp
+++ b/src/gateway/crashwitness.cpp
@@ -81,7 +81,7 @@
 void CrashWitness::connectionRefused()
 {
     m_stores.requests.noteRefusedConnection(m_incarnation, m_loop.now());
-    m_stores.parts.quarantine().noteEndpointEnded(m_incarnation);
+    m_stores.parts.quarantine().noteEndpointEnded(m_incarnation, m_loop.now());
 }
 
 void CrashWitness::connectionLost()
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -445,7 +445,7 @@
         case EndpointChange::Kind::Restarted:
             logChange("endpoint_restarted", change.record);
             m_quarantine.noteEndpointEnded(change.previous.incarnationName(), m_loop.now());
-            m_parts.quarantine().noteEndpointEnded(change.previous.incarnationName());
+            m_parts.quarantine().noteEndpointEnded(change.previous.incarnationName(), m_loop.now());
             m_permits.forget(change.previous.incarnationName());
             m_pool.closeIdleConnections(id);
             m_statistics.erase(id);
@@ -456,7 +456,7 @@
             break;
         case EndpointChange::Kind::Removed:
             logChange("endpoint_gone", change.record);
-            m_parts.quarantine().noteEndpointEnded(change.record.incarnationName());
+            m_parts.quarantine().noteEndpointEnded(change.record.incarnationName(), m_loop.now());
             m_permits.forget(change.record.incarnationName());
             m_pool.closeIdleConnections(id);
             m_statistics.erase(id);
--- a/src/gateway/partquarantine.cpp
+++ b/src/gateway/partquarantine.cpp
@@ -6,7 +6,6 @@
 #include "rendezvoushash.h"
 
 #include <algorithm>
-#include <set>
 #include <tuple>
 #include <utility>
 
@@ -16,8 +15,10 @@
 namespace
 {
 
-/** With a constant set of crashes, their ages change the result no more often than this matters. */
-constexpr Duration JUDGE_INTERVAL = milliseconds(50);
+/** Judging costs some microseconds for each suspect, so it isn't repeated for each request. */
+constexpr Duration JUDGE_INTERVAL = milliseconds(100);
+/** The same while no evidence arrives and all of it has settled. */
+constexpr Duration IDLE_JUDGE_INTERVAL = milliseconds(1000);
 
 std::uint32_t shortHash(const std::string &text)
 {
@@ -27,17 +28,19 @@
 /** The number of crashes at different moments, and by different requests, whichever is smaller. */
 int countCrashes(const std::vector<PartCrash> &crashes)
 {
-    std::set<std::uint32_t> requests;
+    std::vector<std::uint32_t> requests;
     int moments = 0;
     TimePoint lastMoment;
     for (const auto &crash : crashes) {
-        requests.insert(crash.request);
+        requests.push_back(crash.request);
         if (moments == 0 || crash.at - lastMoment >= PartQuarantine::SAME_MOMENT) {
             lastMoment = crash.at;
             ++moments;
         }
     }
-    return std::min(moments, static_cast<int>(requests.size()));
+    std::sort(requests.begin(), requests.end());
+    const auto distinct = std::unique(requests.begin(), requests.end()) - requests.begin();
+    return std::min(moments, static_cast<int>(distinct));
 }
 
 /** Selects the latest crashes at different moments by different requests, at most `maxCount`. */
@@ -66,7 +69,7 @@
     const std::string &endpoint, TimePoint now)
 {
     for (const PartKey part : parts) {
-        addOwn({part, static_cast<std::uint32_t>(request), shortHash(team), contentHash(endpoint), now});
+        addOwn({part, static_cast<std::uint32_t>(request), shortHash(team), contentHash(endpoint), now}, now);
         m_recordedAt = now;
     }
 }
@@ -85,12 +88,12 @@
     m_pending.push_back(std::move(pending));
 }
 
-void PartQuarantine::noteEndpointEnded(const std::string &endpoint)
+void PartQuarantine::noteEndpointEnded(const std::string &endpoint, TimePoint now)
 {
     for (const auto &pending : m_pending) {
         if (pending.endpoint == endpoint) {
             for (const auto &crash : pending.crashes) {
-                addOwn(crash);
+                addOwn(crash, now);
             }
         }
     }
@@ -129,7 +132,7 @@
 {
     for (const auto &crash : evidence.crashes) {
         if (crash.at + MEMORY_TIME > now) {
-            add(crash);
+            add(crash, now);
         }
     }
     for (const auto &answer : evidence.answers) {
@@ -161,13 +164,13 @@
     return std::nullopt;
 }
 
-void PartQuarantine::addOwn(const PartCrash &crash)
+void PartQuarantine::addOwn(const PartCrash &crash, TimePoint now)
 {
     m_ownReports.push_back(crash);
-    add(crash);
+    add(crash, now);
 }
 
-void PartQuarantine::add(const PartCrash &crash)
+void PartQuarantine::add(const PartCrash &crash, TimePoint now)
 {
     if (m_suspects.size() >= MAX_SUSPECTS && m_suspects.count(crash.part) == 0) {
         return;
@@ -194,6 +197,7 @@
     if (crashes.size() > MAX_CRASHES_PER_PART) {
         thinOut(crash.part, crashes);
     }
+    m_addedAt = now;
     m_isChanged = true;
 }
 
@@ -219,13 +223,18 @@
 
 void PartQuarantine::noteInterrupted(const PartCrash &crash)
 {
-    const auto found = std::find_if(m_crashedEndpoints.begin(), m_crashedEndpoints.end(),
-        [&crash](const auto &known) { return known.endpoint == crash.endpoint && isSameCrash(known.at, crash.at); });
-    if (found == m_crashedEndpoints.end()) {
-        m_crashedEndpoints.push_back({crash.endpoint, crash.at, {crash.part}});
-        return;
+    if (m_crashedEndpoints.size() >= MAX_CRASHED_ENDPOINTS && m_crashedEndpoints.count(crash.endpoint) == 0) {
+        m_crashedEndpoints.erase(std::min_element(m_crashedEndpoints.begin(), m_crashedEndpoints.end(),
+            [](const auto &a, const auto &b) { return a.second.at < b.second.at; }));
+    }
+    CrashedEndpoint &known = m_crashedEndpoints[crash.endpoint];
+    if (!isSameCrash(known.at, crash.at)) {
+        if (known.at > crash.at) {
+            return;
+        }
+        known = {crash.at, {}};
     }
-    auto &parts = found->parts;
+    auto &parts = known.parts;
     if (parts.size() < MAX_PARTS_PER_CRASH && std::find(parts.begin(), parts.end(), crash.part) == parts.end()) {
         parts.push_back(crash.part);
     }
@@ -233,9 +242,9 @@
 
 const std::vector<PartKey> *PartQuarantine::interruptedParts(const PartCrash &crash) const
 {
-    const auto found = std::find_if(m_crashedEndpoints.begin(), m_crashedEndpoints.end(),
-        [&crash](const auto &known) { return known.endpoint == crash.endpoint && isSameCrash(known.at, crash.at); });
-    return found == m_crashedEndpoints.end() ? nullptr : &found->parts;
+    const auto found = m_crashedEndpoints.find(crash.endpoint);
+    return found != m_crashedEndpoints.end() && isSameCrash(found->second.at, crash.at) ? &found->second.parts
+                                                                                        : nullptr;
 }
 
 bool PartQuarantine::isExplained(const PartCrash &crash) const
@@ -286,6 +295,9 @@
     std::unordered_map<PartKey, int> counts;
     std::vector<PartKey> candidates;
     for (const auto &[part, suspect] : m_suspects) {
+        if (suspect.crashes.size() < 2) {
+            continue;
+        }
         const int count = countCrashes(unansweredCrashes(part, suspect));
         counts[part] = count;
         if (count >= CRASH_LIMIT) {
@@ -336,7 +348,8 @@
 
 void PartQuarantine::update(TimePoint now)
 {
-    if (m_suspects.empty() || (!m_isChanged && now - m_judgedAt < JUDGE_INTERVAL)) {
+    const bool isIdle = !m_isChanged && m_judgedAt >= m_addedAt + SETTLING_TIME;
+    if (m_suspects.empty() || now - m_judgedAt < (isIdle ? IDLE_JUDGE_INTERVAL : JUDGE_INTERVAL)) {
         return;
     }
     m_isChanged = false;
@@ -417,6 +430,9 @@
 
 void PartQuarantine::expire(TimePoint now)
 {
+    for (auto it = m_crashedEndpoints.begin(); it != m_crashedEndpoints.end();) {
+        it = it->second.at + MEMORY_TIME > now ? std::next(it) : m_crashedEndpoints.erase(it);
+    }
     for (auto it = m_suspects.begin(); it != m_suspects.end();) {
         auto &crashes = it->second.crashes;
         crashes.erase(std::remove_if(crashes.begin(), crashes.end(),
--- a/src/gateway/partquarantine.h
+++ b/src/gateway/partquarantine.h
@@ -75,7 +75,7 @@
     void recordSilence(const std::vector<PartKey> &parts, std::uint64_t request, const std::string &team,
         const std::string &endpoint, TimePoint silentSince);
     /** Records that `endpoint` has ended or runs no more under its name. */
-    void noteEndpointEnded(const std::string &endpoint);
+    void noteEndpointEnded(const std::string &endpoint, TimePoint now);
     /** Records a response of `endpoint`: its silences weren't an end. */
     void noteResponse(const std::string &endpoint);
     /** Records that an endpoint began to answer a prompt with these parts. */
@@ -127,13 +127,12 @@
     /** The parts of the prompts that one crash of an endpoint interrupted. */
     struct CrashedEndpoint
     {
-        std::uint64_t endpoint = 0;
         TimePoint at;
         std::vector<PartKey> parts;
     };
 
-    void add(const PartCrash &crash);
-    void addOwn(const PartCrash &crash);
+    void add(const PartCrash &crash, TimePoint now);
+    void addOwn(const PartCrash &crash, TimePoint now);
     std::optional<TimePoint> answeredAt(PartKey part) const;
     /** Whether the service works for prompts without the part, as far as this has to be known to quarantine it. */
     bool isServiceWorking(PartKey part, TimePoint since) const;
@@ -162,8 +161,8 @@
     std::unordered_map<PartKey, Quarantine> m_verdicts;
     std::vector<PartVerdict> m_newVerdicts;
     boost::circular_buffer<PartCrash> m_ownReports{MAX_OWN_REPORTS};
-    /** In the order in which this gateway learned of them. */
-    boost::circular_buffer<CrashedEndpoint> m_crashedEndpoints{MAX_CRASHED_ENDPOINTS};
+    /** The latest crash of each endpoint, by the hash of its incarnation; at most MAX_CRASHED_ENDPOINTS. */
+    std::unordered_map<std::uint64_t, CrashedEndpoint> m_crashedEndpoints;
     std::vector<Pending> m_pending;
     /** Latest answers in two generations; the older one is dropped when the newer one is full. */
     std::unordered_map<PartKey, TimePoint> m_answered;
@@ -171,6 +170,7 @@
     /** The latest answers, with the first part of each prompt. */
     boost::circular_buffer<PartAnswer> m_recentAnswers{64};
     TimePoint m_recordedAt;
+    TimePoint m_addedAt;
     TimePoint m_judgedAt;
     bool m_isChanged = false;
 };
--- a/test/correctness/partquarantine.cpp
+++ b/test/correctness/partquarantine.cpp
@@ -235,9 +235,9 @@
     }
     REQUIRE_FALSE(isRefused(quarantine, {"root", "bad"}, 4000));
     for (int i = 0; i < 3; ++i) {
-        quarantine.noteEndpointEnded("e" + std::to_string(i));
+        quarantine.noteEndpointEnded("e" + std::to_string(i), at(3500));
         quarantine.noteResponse("se" + std::to_string(i));
-        quarantine.noteEndpointEnded("se" + std::to_string(i));
+        quarantine.noteEndpointEnded("se" + std::to_string(i), at(3500));
     }
     REQUIRE(isRefused(quarantine, {"root", "bad"}, 4000));
     REQUIRE_FALSE(isRefused(quarantine, {"root", "slow"}, 4000));
