Reports that waited at a stopped gateway aren't taken for further crashes

Reports state the age of a crash; a gateway that was frozen read them seconds late, took the crashes for later ones, and passed them on without those of the bad part. A part that always comes with the bad one then had crashes without a cause.

An endpoint's incarnation crashes once, so its reports within 10 s are one crash, at the earliest of their times. The unit test failed before.

--- a/src/gateway/partquarantine.h
+++ b/src/gateway/partquarantine.h
@@ -40,8 +40,9 @@
     static constexpr Duration SETTLING_TIME = milliseconds(400);
     /** Crashes of several endpoints within this time may have one other cause, such as a lost rack. */
     static constexpr Duration SAME_MOMENT = milliseconds(300);
-    /** Reports of the crash of one endpoint differ by less than this. */
-    static constexpr Duration SAME_CRASH = milliseconds(2000);
+    /** Reports of the crash of one endpoint differ by less than this, also those that waited at a stopped gateway. An
+     * endpoint that runs again under its name and crashes within this time counts once. */
+    static constexpr Duration SAME_CRASH = milliseconds(10000);
     /** The times of other gateways are late by the time that the message took. */
     static constexpr Duration ANSWER_MARGIN = milliseconds(200);
     static constexpr Duration QUARANTINE_TIME = milliseconds(120000);
--- a/test/correctness/partquarantine.cpp
+++ b/test/correctness/partquarantine.cpp
@@ -4,6 +4,8 @@
 #include "gateway/partquarantine.h"
 #include "gateway/requesttraits.h"
 
+#include "rendezvoushash.h"
+
 #include <catch2/catch.hpp>
 
 #include <string>
@@ -281,6 +283,25 @@
     REQUIRE_FALSE(isRefused(restarted, {"root", "unlucky"}, 8500));
 }
 
+TEST_CASE("reports that waited at a stopped gateway aren't new crashes without a cause")
+{
+    PartQuarantine quarantine;
+    Crashes crashes(quarantine);
+    for (int i = 0; i < 4; ++i) {
+        crashes.add({{"root", "subject", "bad"}}, 1000 * i);
+    }
+    REQUIRE(isRefused(quarantine, {"root", "x", "bad"}, 4000));
+    PartEvidence late;
+    for (int i = 0; i < 4; ++i) {
+        const std::string endpoint = "endpoint-" + std::to_string(i + 1);
+        late.crashes.push_back({parts({"root", "subject"})[1], static_cast<std::uint32_t>(i + 1), 1,
+            contentHash(endpoint), at(1000 * i + 4000)});
+    }
+    quarantine.merge(late, at(7500));
+    REQUIRE_FALSE(isRefused(quarantine, {"root", "subject"}, 9000));
+    REQUIRE(isRefused(quarantine, {"root", "x", "bad"}, 9000));
+}
+
 TEST_CASE("a quarantine ends, and the first crash after it begins it again")
 {
     PartQuarantine quarantine;
