A gateway that has just started doesn't refuse the requests that waited for its configuration

The rejection of requests by a gateway that is behind counted the time for which it held them back itself, until its first configuration had come, as time that they had waited unread.

--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -146,7 +146,7 @@
 bool RequestFlow::refuseIfBehind()
 {
     const TimePoint now = m_gateway.loop().now();
-    m_gateway.intakeDelay().add(now - m_request.arrivedAfter, now);
+    m_gateway.intakeDelay().add(m_request.readAt - m_request.arrivedAfter, now);
     if (timeLeft() <= Duration()) {
         refuse(GatewayRefusal::TimedOutUnsent);
         return true;
--- a/test/error/processes_behind.py
+++ b/test/error/processes_behind.py
@@ -141,5 +141,35 @@
     with_gateway(test)
 
 
+class SlowStore(Store):
+    """Answers reads of the configuration after a while, but before gateways give up waiting for the first one."""
+
+    def respond(self, request):
+        if request.target.startswith("/-/kv-key"):
+            time.sleep(0.35)
+        return super().respond(request)
+
+
+def requests_that_waited_for_the_first_configuration_are_not_refused():
+    store, desk = SlowStore(), Desk()
+    store.put("servers/desk-0", desk.registration("desk"))
+    document = configuration(1, [route("plain", "desk")])
+    document["services"][0]["max_connections"] = CONNECTIONS
+    store.put("op/config", document)
+    gateway = Gateway(BUILD, store)
+    try:
+        eventually(lambda: gateway.log_lines("started"), "the start")
+        callers = [Caller(gateway, deadline_ms=3000) for _ in range(60)]
+        statuses = [caller.status() for caller in callers]
+        assert set(statuses) == {200}, {status: statuses.count(status) for status in set(statuses)}
+        waited = [line for line in gateway.log_lines("request_finished") if int(line.split("took_ms=")[1].split()[0]) > 200]
+        assert len(waited) > len(callers) // 2, f"only {len(waited)} requests waited"
+    finally:
+        gateway.stop()
+        for server in (store.server, desk.server):
+            server.close()
+
+
 if __name__ == "__main__":
-    sys.exit(run_tests(("Desk", "Caller", "LittleProcessor", "with_gateway", "late_arrivals"), sys.argv[2:]))
+    sys.exit(run_tests(("Desk", "Caller", "LittleProcessor", "SlowStore", "with_gateway",
+                        "late_arrivals"), sys.argv[2:]))
