Crashes of a part are counted in the order in which they occurred

A report that states an earlier time than the one at hand moved a crash out of the order of its list, and a crash out of order wasn't counted as a moment of its own, so a bad part could be found one crash late. The unit test failed before.

--- a/src/gateway/crashwitness.cpp
+++ b/src/gateway/crashwitness.cpp
@@ -12,6 +12,8 @@
 #include "rendezvoushash.h"
 #include "transport/eventloop.h"
 
+#include <algorithm>
+
 namespace Cyclamenturn
 {
 
--- a/src/gateway/partquarantine.cpp
+++ b/src/gateway/partquarantine.cpp
@@ -180,9 +180,13 @@
     const auto known = std::find_if(crashes.begin(), crashes.end(), [&crash](const PartCrash &other) {
         return other.endpoint == crash.endpoint && other.request == crash.request && isSameCrash(other.at, crash.at);
     });
+    const auto isEarlier = [](const PartCrash &a, const PartCrash &b) {
+        return a.at < b.at;
+    };
     if (known != crashes.end()) {
         // Each gateway that passes a report on makes it a little younger.
         known->at = std::min(known->at, crash.at);
+        std::stable_sort(crashes.begin(), crashes.end(), isEarlier);
         return;
     }
     const auto sameMoment = std::count_if(crashes.begin(), crashes.end(), [&crash](const PartCrash &other) {
@@ -191,9 +195,7 @@
     if (static_cast<std::size_t>(sameMoment) >= MAX_REPORTS_PER_MOMENT) {
         return;
     }
-    crashes.insert(std::upper_bound(crashes.begin(), crashes.end(), crash,
-                       [](const PartCrash &a, const PartCrash &b) { return a.at < b.at; }),
-        crash);
+    crashes.insert(std::upper_bound(crashes.begin(), crashes.end(), crash, isEarlier), crash);
     if (crashes.size() > MAX_CRASHES_PER_PART) {
         thinOut(crash.part, crashes);
     }
--- a/src/transport/eventloop.h
+++ b/src/transport/eventloop.h
@@ -91,7 +91,7 @@
 
     /**
      * Runs one iteration: waits at most `maxWait` for a ready socket or the next timer, then calls the handlers of the
-     * ready sockets and the callbacks of the expired timers.
+     * ready sockets and the callbacks of the expired timers, in the order described at the head of this file.
      */
     void runOnce(Duration maxWait);
 
--- a/test/correctness/partquarantine.cpp
+++ b/test/correctness/partquarantine.cpp
@@ -302,6 +302,20 @@
     REQUIRE(isRefused(quarantine, {"root", "x", "bad"}, 9000));
 }
 
+TEST_CASE("crashes are counted in the order in which they occurred, also if one is reported late")
+{
+    PartQuarantine quarantine;
+    for (int i = 0; i < 3; ++i) {
+        const int seenAt[] = {0, 2500, 2000};
+        quarantine.recordCrash(
+            parts({"root", "bad"}), static_cast<std::uint64_t>(i), "team-1", "e" + std::to_string(i), at(seenAt[i]));
+    }
+    PartEvidence evidence;
+    evidence.crashes.push_back({parts({"root", "bad"})[1], 1, 1, contentHash("e1"), at(1000)});
+    quarantine.merge(evidence, at(2600));
+    REQUIRE(isRefused(quarantine, {"root", "bad"}, 3500));
+}
+
 TEST_CASE("a quarantine ends, and the first crash after it begins it again")
 {
     PartQuarantine quarantine;
