A connection that fails while it is accepted doesn't end the process

The new accept loop no longer caught the exception that setting the options of a connection throws if the client has reset it. Found by reading; no run shows it.

--- a/src/transport/httpserver.cpp
+++ b/src/transport/httpserver.cpp
@@ -3,6 +3,7 @@
  */
 #include "httpserver.h"
 
+#include <Poco/Exception.h>
 #include <Poco/Net/PollSet.h>
 #include <Poco/Net/StreamSocketImpl.h>
 
@@ -92,8 +93,13 @@
     if (descriptor < 0) { // none waits, the client disconnected early, or no file descriptor was free
         return false;
     }
-    const Poco::Net::StreamSocket socket(new Poco::Net::StreamSocketImpl(descriptor));
-    const auto connection = std::make_shared<HttpServerConnection>(*this, m_loop, socket);
+    HttpServerConnectionPtr connection;
+    try {
+        const Poco::Net::StreamSocket socket(new Poco::Net::StreamSocketImpl(descriptor));
+        connection = std::make_shared<HttpServerConnection>(*this, m_loop, socket);
+    } catch (const Poco::Exception &) { // the client has reset the connection meanwhile
+        return true;
+    }
     m_connections.emplace(connection.get(), connection);
     // Usually the request is there already. Read now, its age is that of the connection.
     connection->readArrived();
