Rename the decisions about intake, and keep one copy of the age in datagrams

IntakeAccepted and IntakeRejected say what was decided. ageMs() stands beside the other coding of datagrams, and partload uses the fleet of crashload. No behaviour changes; the unit tests and partload pass.

--- a/src/gateway/intakepolicy.cpp
+++ b/src/gateway/intakepolicy.cpp
@@ -58,10 +58,10 @@
 {
     const bool isTooSlow = inputs.delay > LEAST_URGENT_LIMIT && inputs.delay * DELAYS_PER_REQUEST > inputs.timeLeft;
     if (!isTooSlow && inputs.delay <= delayLimit(inputs.priority, draw)) {
-        return TakeRequest();
+        return IntakeAccepted();
     }
     const Duration untilRead = std::max(DEFAULT_RETRY_AFTER, inputs.delay) + scaled(inputs.delay, draw);
-    return TurnAwayRequest{std::min(untilRead, scaled(inputs.timeLeft, LONGEST_WAIT_SHARE))};
+    return IntakeRejected{std::min(untilRead, scaled(inputs.timeLeft, LONGEST_WAIT_SHARE))};
 }
 
 }
--- a/src/gateway/intakepolicy.h
+++ b/src/gateway/intakepolicy.h
@@ -35,17 +35,17 @@
     int priority = 0;
 };
 
-struct TakeRequest
+struct IntakeAccepted
 {
 };
 
-struct TurnAwayRequest
+struct IntakeRejected
 {
     /** When the requests that wait now are expected to have been read, spread out. */
     Duration retryAfter{};
 };
 
-using IntakeDecision = std::variant<TakeRequest, TurnAwayRequest>;
+using IntakeDecision = std::variant<IntakeAccepted, IntakeRejected>;
 
 /** Accepts or rejects a request. `draw` is a random number, uniform in [0, 1). */
 IntakeDecision decideIntake(const IntakeInputs &inputs, double draw);
--- a/src/gateway/partevidence.cpp
+++ b/src/gateway/partevidence.cpp
@@ -8,23 +8,11 @@
 #include "requesttraits.h"
 
 #include <algorithm>
-#include <limits>
 #include <sstream>
 
 namespace Cyclamenturn
 {
 
-namespace
-{
-
-Poco::UInt32 ageMs(TimePoint at, TimePoint now)
-{
-    return static_cast<Poco::UInt32>(
-        std::clamp<std::int64_t>(toMilliseconds(now - at), 0, std::numeric_limits<Poco::UInt32>::max()));
-}
-
-}
-
 std::vector<PartKey> sharedParts(const PromptTraits &prompt)
 {
     std::vector<PartKey> out;
--- a/src/gateway/peerdatagram.cpp
+++ b/src/gateway/peerdatagram.cpp
@@ -1,8 +1,11 @@
 /** \file
- * Decoding shared by all kinds of datagrams between gateways.
+ * Coding shared by all kinds of datagrams between gateways.
  */
 #include "peerdatagram.h"
 
+#include <algorithm>
+#include <limits>
+
 namespace Cyclamenturn
 {
 
@@ -14,6 +17,12 @@
 
 }
 
+Poco::UInt32 ageMs(TimePoint at, TimePoint now)
+{
+    return static_cast<Poco::UInt32>(
+        std::clamp<std::int64_t>(toMilliseconds(now - at), 0, std::numeric_limits<Poco::UInt32>::max()));
+}
+
 bool readText(Poco::BinaryReader &in, std::string &text)
 {
     Poco::UInt32 size = 0;
--- a/src/gateway/peerdatagram.h
+++ b/src/gateway/peerdatagram.h
@@ -3,6 +3,8 @@
  */
 #pragma once
 
+#include "timepoint.h"
+
 #include <Poco/BinaryReader.h>
 #include <Poco/BinaryWriter.h>
 
@@ -25,6 +27,9 @@
 /** Size of the largest datagram that is sent or received. */
 constexpr std::size_t MAX_DATAGRAM_BYTES = 2048;
 
+/** The age of a time, as it is written in datagrams. */
+Poco::UInt32 ageMs(TimePoint at, TimePoint now);
+
 /** Reads a length-prefixed text. Returns false when it is truncated or longer than any valid text, since the length
  * comes from an untrusted sender. */
 bool readText(Poco::BinaryReader &in, std::string &text);
--- a/src/gateway/peerdigest.cpp
+++ b/src/gateway/peerdigest.cpp
@@ -7,7 +7,6 @@
 #include "rendezvoushash.h"
 
 #include <algorithm>
-#include <limits>
 #include <sstream>
 
 namespace Cyclamenturn
@@ -19,12 +18,6 @@
 /** Limit that keeps a digest well within one packet. */
 constexpr std::size_t MAX_ENDPOINT_REQUESTS = 96;
 
-Poco::UInt32 ageMs(TimePoint at, TimePoint now)
-{
-    return static_cast<Poco::UInt32>(
-        std::clamp<std::int64_t>(toMilliseconds(now - at), 0, std::numeric_limits<Poco::UInt32>::max()));
-}
-
 }
 
 std::uint32_t endpointHash(const std::string &endpointId)
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -153,7 +153,7 @@
     }
     const IntakeInputs inputs{m_gateway.intakeDelay().current(now), timeLeft(), intakePriority(m_admitted)};
     const IntakeDecision decision = decideIntake(inputs, m_gateway.randomFraction());
-    const auto *rejection = std::get_if<TurnAwayRequest>(&decision);
+    const auto *rejection = std::get_if<IntakeRejected>(&decision);
     if (rejection == nullptr) {
         return false;
     }
--- a/test/correctness/intakepolicy.cpp
+++ b/test/correctness/intakepolicy.cpp
@@ -13,7 +13,7 @@
 
 bool isTaken(const IntakeInputs &inputs, double draw = 0.5)
 {
-    return std::holds_alternative<TakeRequest>(decideIntake(inputs, draw));
+    return std::holds_alternative<IntakeAccepted>(decideIntake(inputs, draw));
 }
 
 constexpr int LEAST_URGENT = ENGINE_PRIORITY_LEVELS - 1;
@@ -50,7 +50,7 @@
 {
     const auto retryAfter = [](Duration timeLeft, double draw) {
         const IntakeDecision decision = decideIntake({milliseconds(1000), timeLeft, LEAST_URGENT}, draw);
-        return std::get<TurnAwayRequest>(decision).retryAfter;
+        return std::get<IntakeRejected>(decision).retryAfter;
     };
     REQUIRE(retryAfter(milliseconds(900), 0.9) <= milliseconds(300));
     REQUIRE(retryAfter(milliseconds(60000), 0.9) - retryAfter(milliseconds(60000), 0.1) >= milliseconds(500));
--- a/test/error/processes_behind.py
+++ b/test/error/processes_behind.py
@@ -142,7 +142,7 @@
 
 
 class SlowStore(Store):
-    """Answers reads of the configuration after a while, but before gateways give up waiting for the first one."""
+    """Answers reads of the configuration after a while, within the time for which gateways wait for the first one."""
 
     def respond(self, request):
         if request.target.startswith("/-/kv-key"):
--- a/test/soak/partload.py
+++ b/test/soak/partload.py
@@ -21,6 +21,7 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from crashload import CrashingEndpoint, EndpointEnded, LoadGateway, RelayedStore, inject_gateway_faults, keep_logs
+from crashload import Fleet as CrashFleet
 from crashrecord import CrashRecord
 from datagramrelay import DatagramRelay
 from gatewayfleet import PORTS_PER_GATEWAY, chunk, configuration, eventually, route, stream_head
@@ -60,7 +61,7 @@
         self.send(connection, name, incarnation, b"0\r\n\r\n")
 
 
-class Fleet:
+class Fleet(CrashFleet):
     def __init__(self, arguments):
         self.end, self.random, self.record = arguments.end, random.Random(arguments.seed), CrashRecord()
         self.under_old_ids, self.down_s = False, arguments.down_s
@@ -92,14 +93,6 @@
             return 0
         return 0 if text is None else status
 
-    def close(self):
-        for gateway in self.gateways:
-            gateway.stop()
-        for endpoint in self.endpoints:
-            endpoint.server.close()
-        self.store.server.close()
-        self.relay.close()
-
 
 class Caller(threading.Thread):
     """Sends prompts of all kinds, each once more after a failure."""
