Soak: a connection that has lost bytes delivers none that follow them

The faulty link had dropped what an endpoint sent for 0.21 s and then passed on the rest of the same connection, among it the last chunk, which TCP never does; a gateway can't see such a gap. Shown by a client at the link without a gateway: one event, then the last chunk; with this change nothing follows the gap. The check is unchanged, and the fault now lasts as long as the connection.

--- a/test/soak/faultylink.py
+++ b/test/soak/faultylink.py
@@ -22,7 +22,8 @@
     """Proxies connections to `target_port` and applies `fault`, which is None or one of FAULTS, to all of them.
 
     "silent" holds all bytes until the fault ends, "lose_requests" drops what the client sends, and "lose_answers" drops
-    what the server sends.
+    what the server sends. A connection that has lost bytes in one direction carries no more in it, since TCP never delivers
+    what follows a gap.
     """
 
     FAULTS = ("delay", "reset", "silent", "lose_requests", "lose_answers")
@@ -52,15 +53,18 @@
 
     def pump(self, sender, receiver, drop_fault):
         """Forwards bytes in one direction; `drop_fault` is the fault that drops them."""
+        has_gap = False
         try:
             while (data := sender.recv(BLOCK_BYTES)):
                 while self.fault == "silent" and not self.closed:
                     time.sleep(HOLD_POLL_S)
                 if self.fault == "delay":
                     time.sleep(0.05)
-                if self.fault != drop_fault:
+                has_gap = has_gap or self.fault == drop_fault
+                if not has_gap:
                     receiver.sendall(data)
-            receiver.shutdown(socket.SHUT_WR)
+            if not has_gap:
+                receiver.shutdown(socket.SHUT_WR)
         except OSError:
             pass  # one of the two connections has ended
         finally:
