Log and count the work of the longest turn of the event loop

The kinds of work in loop_behind were summed over a second, and the turn that took in a version showed up a line later. Turns are told apart now.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -338,6 +338,8 @@
     const LoopLoad load = m_loop.takeLoad();
     const double delaySeconds = std::chrono::duration<double>(load.longestDelay()).count();
     m_metrics.set("cyclamenturn_loop_longest_delay_seconds", {}, delaySeconds);
+    const double turnSeconds = std::chrono::duration<double>(load.longestTurn()).count();
+    m_metrics.set("cyclamenturn_loop_longest_turn_seconds", {}, turnSeconds);
     const Duration intakeDelay = m_intakeDelay.current(m_loop.now());
     m_metrics.set("cyclamenturn_intake_delay_seconds", {}, std::chrono::duration<double>(intakeDelay).count());
     for (std::size_t i = 0; i < WORK_KINDS; ++i) {
@@ -356,6 +358,7 @@
         const auto kind = static_cast<WorkKind>(i);
         const std::string name = std::string(toString(kind)) + "_ms";
         event.field(name.c_str(), toMilliseconds(load.busy(kind)));
+        event.field(("turn_" + name).c_str(), toMilliseconds(load.busyInLongestTurn(kind)));
     }
 }
 
--- a/src/transport/eventloop.cpp
+++ b/src/transport/eventloop.cpp
@@ -82,7 +82,7 @@
 
 LoopLoad EventLoop::takeLoad()
 {
-    return std::exchange(m_load, LoopLoad());
+    return m_load.take();
 }
 
 Poco::Net::PollSet::SocketModeMap EventLoop::poll(Duration maxWait)
--- a/src/transport/loopload.cpp
+++ b/src/transport/loopload.cpp
@@ -1,8 +1,10 @@
 /** \file
- * Names of the kinds of work in logs and metrics.
+ * Load of an event loop, and the names of the kinds of work in logs and metrics.
  */
 #include "loopload.h"
 
+#include <utility>
+
 namespace Cyclamenturn
 {
 
@@ -23,4 +25,11 @@
     return "unknown";
 }
 
+LoopLoad LoopLoad::take()
+{
+    LoopLoad next;
+    next.m_turn = m_turn;
+    return std::exchange(*this, next);
+}
+
 }
--- a/src/transport/loopload.h
+++ b/src/transport/loopload.h
@@ -35,21 +35,33 @@
     void addWork(WorkKind kind, Duration time)
     {
         m_busy[static_cast<std::size_t>(kind)] += time;
+        m_turn[static_cast<std::size_t>(kind)] += time;
     }
     /** Notes how long an event may have waited before its handler was called. */
     void noteDelay(Duration delay)
     {
         m_longestDelay = std::max(m_longestDelay, delay);
     }
+    /** Notes the end of a turn; the work that was added since the previous one belongs to it. */
     void noteTurn(Duration length)
     {
-        m_longestTurn = std::max(m_longestTurn, length);
+        if (length > m_longestTurn) {
+            m_longestTurn = length;
+            m_busyInLongestTurn = m_turn;
+        }
+        m_turn = {};
     }
+    /** Returns the load until now and starts a new one, in which the turn in progress goes on. */
+    LoopLoad take();
 
     Duration busy(WorkKind kind) const
     {
         return m_busy[static_cast<std::size_t>(kind)];
     }
+    Duration busyInLongestTurn(WorkKind kind) const
+    {
+        return m_busyInLongestTurn[static_cast<std::size_t>(kind)];
+    }
     Duration longestDelay() const
     {
         return m_longestDelay;
@@ -61,6 +73,9 @@
 
 private:
     std::array<Duration, WORK_KINDS> m_busy{};
+    /** Of the turn in progress. */
+    std::array<Duration, WORK_KINDS> m_turn{};
+    std::array<Duration, WORK_KINDS> m_busyInLongestTurn{};
     Duration m_longestDelay{};
     Duration m_longestTurn{};
 };
