--- a/test/error/gatewayfleet.py
+++ b/test/error/gatewayfleet.py
@@ -285,6 +285,12 @@
         except OSError:
             return False
 
+    def metric(self, name):
+        """Returns the sum of the metric's values over all labels."""
+        text = self.call("GET", "/metrics", port=self.metrics_port)[1].decode()
+        return sum(float(line.rsplit(" ", 1)[1]) for line in text.splitlines()
+                   if line.split("{")[0].split(" ")[0] == name)
+
     def log_lines(self, event):
         """Returns the lines of the log with this event."""
         with open(self.log_file, encoding="utf-8") as log:
@@ -298,6 +304,27 @@
         self.directory.cleanup()
 
 
+class LittleProcessor(threading.Thread):
+    """Lets a process run for a part of each period only."""
+
+    def __init__(self, process, share, period_s=0.1):
+        super().__init__(daemon=True)
+        self.process, self.share, self.period_s, self.ended = process, share, period_s, threading.Event()
+        self.start()
+
+    def run(self):
+        while not self.ended.is_set() and self.process.poll() is None:
+            self.process.send_signal(signal.SIGCONT)
+            time.sleep(self.period_s * self.share)
+            self.process.send_signal(signal.SIGSTOP)
+            time.sleep(self.period_s * (1 - self.share))
+        self.process.send_signal(signal.SIGCONT)
+
+    def end(self):
+        self.ended.set()
+        self.join()
+
+
 def eventually(condition, what, timeout_s=DEFAULT_TIMEOUT_S):
     """Waits until `condition()` is true; fails after `timeout_s`."""
     end = time.monotonic() + timeout_s
--- a/test/error/processes_behind.py
+++ b/test/error/processes_behind.py
@@ -4,10 +4,9 @@
 import signal
 import socket
 import sys
-import threading
 import time
 
-from gatewayfleet import Endpoint, Gateway, Store, configuration, eventually, route, run_tests, sealed_response
+from gatewayfleet import Endpoint, Gateway, LittleProcessor, Store, configuration, eventually, route, run_tests, sealed_response
 
 BUILD = sys.argv[1]
 # A request must not reach an endpoint later than this after its caller has left.
@@ -46,29 +45,6 @@
         return int(self.connection.recv(65536).split()[1])
 
 
-class LittleProcessor(threading.Thread):
-    """Lets a process run for a part of each period only."""
-
-    PERIOD_S = 0.1
-
-    def __init__(self, process, share):
-        super().__init__(daemon=True)
-        self.process, self.share, self.ended = process, share, threading.Event()
-        self.start()
-
-    def run(self):
-        while not self.ended.is_set() and self.process.poll() is None:
-            self.process.send_signal(signal.SIGCONT)
-            time.sleep(self.PERIOD_S * self.share)
-            self.process.send_signal(signal.SIGSTOP)
-            time.sleep(self.PERIOD_S * (1 - self.share))
-        self.process.send_signal(signal.SIGCONT)
-
-    def end(self):
-        self.ended.set()
-        self.join()
-
-
 def with_gateway(test):
     store, desk = Store(), Desk()
     store.put("servers/desk-0", desk.registration("desk"))
@@ -171,5 +147,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_tests(("Desk", "Caller", "LittleProcessor", "SlowStore", "with_gateway",
-                        "late_arrivals"), sys.argv[2:]))
+    sys.exit(run_tests(("Desk", "Caller", "SlowStore", "with_gateway", "late_arrivals"), sys.argv[2:]))
