A socket that was put off isn't taken for one that has waited ever since

The log showed events that had waited for 20 to 51 s at gateways whose turns never lasted longer than 1.4 s; a request that arrives at such a socket would be refused as too old.

Cause: a listening socket that was put off after its last connection kept the time since which it waited until the next connection, however late.

Change: what isn't ready at the next poll doesn't wait. The new test failed before.

--- a/src/transport/eventloop.cpp
+++ b/src/transport/eventloop.cpp
@@ -125,15 +125,22 @@
 {
     std::vector<Event> out;
     out.reserve(ready.size());
+    // A socket that isn't ready any more has nothing that waits.
+    std::unordered_map<const Poco::Net::SocketImpl *, TimePoint> stillWaiting;
     for (const auto &[socket, modes] : ready) {
         const auto found = m_handlers.find(socket.impl());
         if (found == m_handlers.end()) {
             continue;
         }
+        TimePoint since = m_eventsSince;
         const auto waiting = m_waitingSince.find(socket.impl());
-        const TimePoint since = waiting == m_waitingSince.end() ? m_eventsSince : waiting->second;
+        if (waiting != m_waitingSince.end()) {
+            since = waiting->second;
+            stillWaiting.insert(*waiting);
+        }
         out.push_back({socket, modes, found->second->workKind(), since});
     }
+    m_waitingSince = std::move(stillWaiting);
     std::stable_sort(out.begin(), out.end(), [](const Event &a, const Event &b) {
         return std::make_pair(order(a.kind), a.since) < std::make_pair(order(b.kind), b.since);
     });
--- a/test/correctness/eventloop.cpp
+++ b/test/correctness/eventloop.cpp
@@ -40,6 +40,10 @@
     {
         m_socket.sendBytes("", 1);
     }
+    const Poco::Net::Socket &socket() const
+    {
+        return m_socket;
+    }
     WorkKind workKind() const override
     {
         return m_kind;
@@ -147,3 +151,19 @@
     loop.runOnce(milliseconds(100));
     REQUIRE(seen - start >= milliseconds(30));
 }
+
+TEST_CASE("a socket that was put off and has nothing to read any more isn't as old as that later")
+{
+    EventLoop loop;
+    std::vector<Duration> ages;
+    ReadySocket listening(loop, WorkKind::NewRequest, [&] { ages.push_back(loop.lag()); });
+    loop.runOnce(milliseconds(100));
+    loop.keepWaiting(listening.socket());
+    loop.runOnce(milliseconds(1));
+    spend(milliseconds(100));
+    loop.runOnce(milliseconds(1));
+    listening.makeReady();
+    loop.runOnce(milliseconds(100));
+    REQUIRE(ages.size() == 2);
+    REQUIRE(ages.back() < milliseconds(100));
+}
