Turns of the event loop have a bound

Cause: a turn handled all responses that were ready and up to 200 ms of new requests; a page of the store was copied three times; every update of the endpoint list, also one without changes, copied the whole list several times; 32 datagrams were read in a row.

Change: responses, new requests and background tasks get 20, 20 and 10 ms of a turn, datagrams 10 ms; pages are moved; lists without changes are only confirmed.

--- a/src/gateway/endpointdirectory.cpp
+++ b/src/gateway/endpointdirectory.cpp
@@ -63,6 +63,7 @@
     m_revision = revision;
     m_readAt = now;
     m_failedSinceRead = false;
+    m_isExact = false;
 
     std::vector<EndpointChange> changes;
     std::set<std::string> listed;
@@ -99,9 +100,20 @@
         changes.push_back({EndpointChange::Kind::Removed, m_records.at(id), {}});
         remove(id, now);
     }
+    m_isExact = now >= m_copiedEntriesUntil;
     return changes;
 }
 
+bool EndpointDirectory::confirm(const StoreRevision &revision, TimePoint now)
+{
+    if (!m_isExact || m_failedSinceRead || revision.era != m_revision.era || revision < m_revision) {
+        return false;
+    }
+    m_revision = revision;
+    m_readAt = now;
+    return true;
+}
+
 void EndpointDirectory::noteReadFailed()
 {
     m_failedSinceRead = true;
--- a/src/gateway/endpointdirectory.h
+++ b/src/gateway/endpointdirectory.h
@@ -82,6 +82,9 @@
      * list of another era is newer. */
     std::vector<EndpointChange> apply(
         const std::vector<EndpointRecord> &list, const StoreRevision &revision, TimePoint now);
+    /** Records that the list applied last is still complete as of `revision`. Returns false, and does nothing, if it
+     * has to be applied again: entries were kept or left out, or the list couldn't be read meanwhile. */
+    bool confirm(const StoreRevision &revision, TimePoint now);
     /** Makes the next list newer than the current one, whatever its revision: another store is used. */
     void forgetRevision()
     {
@@ -125,6 +128,8 @@
     /** Until then, endpoints whose entries are missing are kept. */
     TimePoint m_keepMissingUntil;
     bool m_failedSinceRead = false;
+    /** Whether m_records are exactly the endpoints of the list applied last. */
+    bool m_isExact = false;
 };
 
 }
--- a/src/gateway/endpointlist.cpp
+++ b/src/gateway/endpointlist.cpp
@@ -6,6 +6,8 @@
 #include "peerdatagram.h"
 #include "rendezvoushash.h"
 
+#include <algorithm>
+#include <set>
 #include <sstream>
 
 namespace Cyclamenturn
@@ -53,25 +55,43 @@
 
 }
 
-std::uint64_t EndpointList::hashOf(const Entries &entries)
+bool EndpointList::isEqualTo(const std::vector<EndpointRecord> &list) const
 {
-    std::uint64_t out = 0;
-    for (const auto &[id, entry] : entries) {
-        out ^= entry.hash;
+    return list.size() == m_entries.size() && std::all_of(list.begin(), list.end(), [this](const auto &record) {
+        const auto known = m_entries.find(record.id);
+        return known != m_entries.end() && known->second.record == record;
+    });
+}
+
+void EndpointList::set(const EndpointRecord &record, TimePoint now)
+{
+    Entry &entry = m_entries[record.id];
+    if (entry.record == record) {
+        return;
     }
-    return out;
+    m_hash ^= entry.hash;
+    entry = {record, now, hashOfRecord(record)};
+    m_hash ^= entry.hash;
+    m_removed.erase(record.id);
+    ++m_generation;
 }
 
-void EndpointList::noteRemovals(const Entries &next, TimePoint now)
+void EndpointList::remove(const std::string &id, TimePoint now)
 {
-    for (const auto &[id, entry] : m_entries) {
-        if (next.count(id) == 0) {
-            m_removed[id] = now;
-        }
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end()) {
+        return;
     }
+    m_hash ^= found->second.hash;
+    m_entries.erase(found);
+    m_removed[id] = now;
+    ++m_generation;
+}
+
+void EndpointList::expireRemovals(TimePoint now)
+{
     for (auto it = m_removed.begin(); it != m_removed.end();) {
-        const bool isOver = now - it->second >= CHANGE_RETENTION || next.count(it->first) != 0;
-        it = isOver ? m_removed.erase(it) : std::next(it);
+        it = now - it->second >= CHANGE_RETENTION ? m_removed.erase(it) : std::next(it);
     }
 }
 
@@ -80,37 +100,59 @@
     if (revision.era == m_revision.era && revision < m_revision) {
         return;
     }
-    Entries next;
+    m_revision = revision;
+    expireRemovals(now);
+    if (isEqualTo(list)) {
+        return;
+    }
+    std::set<std::string> missing;
+    for (const auto &[id, entry] : m_entries) {
+        missing.insert(id);
+    }
     for (const auto &record : list) {
-        const auto known = m_entries.find(record.id);
-        const bool isUnchanged = known != m_entries.end() && known->second.record == record;
-        next[record.id] = isUnchanged ? known->second : Entry{record, now, hashOfRecord(record)};
+        set(record, now);
+        missing.erase(record.id);
     }
-    noteRemovals(next, now);
-    m_entries = std::move(next);
-    m_revision = revision;
+    for (const auto &id : missing) {
+        remove(id, now);
+    }
+}
+
+std::uint64_t EndpointList::hashAfter(const EndpointListUpdate &update) const
+{
+    // An entry may be removed and listed again in the same update.
+    std::map<std::string, std::uint64_t> hashes;
+    for (const auto &id : update.removed) {
+        hashes[id] = 0;
+    }
+    for (const auto &record : update.changed) {
+        hashes[record.id] = hashOfRecord(record);
+    }
+    std::uint64_t out = m_hash;
+    for (const auto &[id, hash] : hashes) {
+        const auto known = m_entries.find(id);
+        out ^= hash ^ (known == m_entries.end() ? 0 : known->second.hash);
+    }
+    return out;
 }
 
 bool EndpointList::merge(const EndpointListUpdate &update, TimePoint now)
 {
-    if (update.revision < m_revision || m_revision == StoreRevision()) {
+    const bool isOutdated = update.revision < m_revision || m_revision == StoreRevision();
+    if (isOutdated || hashAfter(update) != update.hash) {
         return false;
     }
-    Entries next = m_entries;
     for (const auto &id : update.removed) {
-        next.erase(id);
-    }
-    for (const auto &record : update.changed) {
-        const auto known = next.find(record.id);
-        if (known == next.end() || !(known->second.record == record)) {
-            next[record.id] = {record, now, hashOfRecord(record)};
+        const bool isListed = std::any_of(
+            update.changed.begin(), update.changed.end(), [&id](const auto &record) { return record.id == id; });
+        if (!isListed) {
+            remove(id, now);
         }
     }
-    if (hashOf(next) != update.hash) {
-        return false;
+    for (const auto &record : update.changed) {
+        set(record, now);
     }
-    noteRemovals(next, now);
-    m_entries = std::move(next);
+    expireRemovals(now);
     m_revision = update.revision;
     return true;
 }
@@ -119,7 +161,7 @@
 {
     EndpointListUpdate out;
     out.revision = m_revision;
-    out.hash = hashOf(m_entries);
+    out.hash = m_hash;
     for (const auto &[id, entry] : m_entries) {
         if (now - entry.changedAt < CHANGE_RETENTION) {
             out.changed.push_back(entry.record);
--- a/src/gateway/endpointlist.h
+++ b/src/gateway/endpointlist.h
@@ -61,6 +61,11 @@
     {
         return m_revision;
     }
+    /** Changes whenever records() changes. */
+    std::uint64_t generation() const
+    {
+        return m_generation;
+    }
 
 private:
     struct Entry
@@ -72,11 +77,18 @@
     };
     using Entries = std::map<std::string, Entry>;
 
-    static std::uint64_t hashOf(const Entries &entries);
-    /** Updates m_removed for a change from m_entries to `next`. */
-    void noteRemovals(const Entries &next, TimePoint now);
+    bool isEqualTo(const std::vector<EndpointRecord> &list) const;
+    /** The hash over all entries after the update. */
+    std::uint64_t hashAfter(const EndpointListUpdate &update) const;
+    void set(const EndpointRecord &record, TimePoint now);
+    void remove(const std::string &id, TimePoint now);
+    /** Forgets removals that aren't included in updates any more. */
+    void expireRemovals(TimePoint now);
 
     Entries m_entries;
+    /** Combined hash of all entries. */
+    std::uint64_t m_hash = 0;
+    std::uint64_t m_generation = 0;
     /** Removal times of recently removed entries, by endpoint id. */
     std::map<std::string, TimePoint> m_removed;
     /** Zero before the first list. */
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -441,6 +441,10 @@
 
 void Gateway::applyEndpointList()
 {
+    if (m_list.generation() == m_appliedList && m_endpoints.confirm(m_list.revision(), m_loop.now())) {
+        return;
+    }
+    m_appliedList = m_list.generation();
     const bool wasReady = isReady();
     for (const auto &change : m_endpoints.apply(m_list.records(), m_list.revision(), m_loop.now())) {
         const std::string &id = change.record.id;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -202,6 +202,8 @@
     RoutingConfigurationPtr m_configuration;
     EndpointList m_list;
     EndpointDirectory m_endpoints;
+    /** EndpointList::generation() of the list in m_endpoints. */
+    std::uint64_t m_appliedList = 0;
     /** By endpoint id. Entries of endpoints that are gone or have restarted are removed. */
     std::unordered_map<std::string, EndpointStatistics> m_statistics;
     PlacementChooser m_placement;
--- a/src/gateway/messagecodec.h
+++ b/src/gateway/messagecodec.h
@@ -12,6 +12,7 @@
 #include "transport/httpmessage.h"
 
 #include <memory>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -78,10 +79,11 @@
     std::string encodedDocument;
 };
 
-/** Versions of the configuration, the oldest first, with the revision of the store at which they were read. */
+/** The latest version of the configuration, with the revision of the store at which it was read. */
 struct ConfigurationPage
 {
-    std::vector<ConfigurationItem> items;
+    /** Empty if a watch has timed out. */
+    std::optional<ConfigurationItem> latest;
     std::uint64_t storeRevision = 0;
 };
 
@@ -117,10 +119,9 @@
     virtual std::uint64_t decodeEra(const HttpResponseHead &head) const = 0;
 
     /** All decode functions throw MessageFormatError. */
-    virtual StorePage decodePage(const std::string &body) const = 0;
-    virtual ConfigurationPage decodeConfigurationRead(const std::string &body) const = 0;
-    /** Returns the versions that a watch reports; the list is empty when the watch timed out. */
-    virtual ConfigurationPage decodeConfigurationWatch(const std::string &body) const = 0;
+    virtual StorePage decodePage(std::string body) const = 0;
+    virtual ConfigurationPage decodeConfigurationRead(std::string body) const = 0;
+    virtual ConfigurationPage decodeConfigurationWatch(std::string body) const = 0;
 
     /** `previous` is a configuration that may have routes in common with the document, or null. */
     virtual std::unique_ptr<ConfigurationDecoder> beginConfiguration(
--- a/src/gateway/peerlink.cpp
+++ b/src/gateway/peerlink.cpp
@@ -17,8 +17,9 @@
 namespace
 {
 
-/** Maximum number of datagrams read per event-loop iteration, so that a flood of them doesn't delay callers. */
+/** Limits on the datagrams read per event-loop iteration, so that a flood of them doesn't delay callers. */
 constexpr int MAX_READS_PER_ITERATION = 32;
+constexpr Duration MAX_READ_TIME = milliseconds(10);
 
 }
 
@@ -49,7 +50,7 @@
 void PeerLink::socketReady(int)
 {
     char bytes[MAX_DATAGRAM_BYTES];
-    for (int i = 0; i < MAX_READS_PER_ITERATION; ++i) {
+    for (int i = 0; i < MAX_READS_PER_ITERATION && (i == 0 || m_loop.elapsed() < MAX_READ_TIME); ++i) {
         try {
             Poco::Net::SocketAddress sender;
             const int count = m_socket.receiveFrom(bytes, sizeof(bytes), sender);
--- a/src/gateway/registration.cpp
+++ b/src/gateway/registration.cpp
@@ -59,7 +59,7 @@
 }
 
 void Registration::begin(
-    const StoreRequest &request, std::function<void(const StoreResponse &response)> responseHandler)
+    const StoreRequest &request, std::function<void(StoreResponse &&response)> responseHandler)
 {
     ++m_calls;
     m_call->begin(request, CALL_TIMEOUT, std::move(responseHandler));
--- a/src/gateway/registration.h
+++ b/src/gateway/registration.h
@@ -48,7 +48,7 @@
     void renew();
     void retry();
     void schedule(Duration wait, void (Registration::*step)());
-    void begin(const StoreRequest &request, std::function<void(const StoreResponse &response)> responseHandler);
+    void begin(const StoreRequest &request, std::function<void(StoreResponse &&response)> responseHandler);
 
     EventLoop &m_loop;
     const StoreCodec &m_codec;
--- a/src/gateway/storecall.cpp
+++ b/src/gateway/storecall.cpp
@@ -3,6 +3,8 @@
  */
 #include "storecall.h"
 
+#include <algorithm>
+
 namespace Cyclamenturn
 {
 
@@ -63,6 +65,11 @@
 {
     m_response.status = head.status;
     m_response.era = m_codec.decodeEra(head);
+    long long length = 0;
+    const std::string *text = head.fields.find("Content-Length");
+    if (text != nullptr && parseDecimal(*text, length)) {
+        m_response.body.reserve(std::min(static_cast<std::size_t>(length), MAX_RESPONSE_BYTES));
+    }
 }
 
 void StoreCall::bodyReceived(std::string piece)
@@ -98,10 +105,10 @@
     m_loop.cancel(m_timeout);
     const ResponseHandler responseHandler = std::move(m_responseHandler);
     m_responseHandler = nullptr;
-    const StoreResponse response = std::move(m_response);
+    StoreResponse response = std::move(m_response);
     m_response = {};
     if (responseHandler) {
-        responseHandler(response);
+        responseHandler(std::move(response));
     }
 }
 
--- a/src/gateway/storecall.h
+++ b/src/gateway/storecall.h
@@ -17,7 +17,7 @@
 class StoreCall : private ExchangeListener
 {
 public:
-    using ResponseHandler = std::function<void(const StoreResponse &response)>;
+    using ResponseHandler = std::function<void(StoreResponse &&response)>;
 
     StoreCall(EventLoop &loop, const StoreCodec &codec, const Address &address);
     ~StoreCall() override;
--- a/src/gateway/storelink.cpp
+++ b/src/gateway/storelink.cpp
@@ -8,6 +8,7 @@
 #include "storecall.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace Cyclamenturn
@@ -85,13 +86,13 @@
 }
 
 void StoreLink::begin(Channel &channel, const StoreRequest &request, Duration timeout,
-    std::function<void(const StoreResponse &response)> responseHandler)
+    std::function<void(StoreResponse &&response)> responseHandler)
 {
     ++m_calls;
-    channel.call->begin(request, timeout,
-        [this, &channel, responseHandler = std::move(responseHandler)](const StoreResponse &response) {
+    channel.call->begin(
+        request, timeout, [this, &channel, responseHandler = std::move(responseHandler)](StoreResponse &&response) {
             noteEra(channel, response);
-            responseHandler(response);
+            responseHandler(std::move(response));
         });
 }
 
@@ -100,7 +101,7 @@
     const StoreCall *call = channel.call.get();
     begin(channel, request, MAX_READ_TIMEOUT,
         [this, &channel, call, startedAt = m_loop.now(), handler](
-            const StoreResponse &response) { handleReadResponse(channel, call, startedAt, response, handler); });
+            StoreResponse &&response) { handleReadResponse(channel, call, startedAt, std::move(response), handler); });
     m_loop.cancel(channel.readTimer);
     channel.readTimer = m_loop.callAfter(channel.readTimeout,
         [this, &channel, isUsableLate, handler] { handleReadTimeout(channel, isUsableLate, handler); });
@@ -118,7 +119,7 @@
     channel.call = std::make_unique<StoreCall>(m_loop, m_codec, m_address);
     StoreResponse late;
     late.isLate = true;
-    handler(late);
+    handler(std::move(late));
 }
 
 std::unique_ptr<StoreCall> StoreLink::takeLateRead(Channel &channel, const StoreCall *call)
@@ -133,8 +134,8 @@
     return out;
 }
 
-void StoreLink::handleReadResponse(Channel &channel, const StoreCall *call, TimePoint startedAt,
-    const StoreResponse &response, const ReadHandler &handler)
+void StoreLink::handleReadResponse(
+    Channel &channel, const StoreCall *call, TimePoint startedAt, StoreResponse &&response, const ReadHandler &handler)
 {
     std::unique_ptr<StoreCall> lateRead = takeLateRead(channel, call);
     if (lateRead && response.status == 0) {
@@ -152,7 +153,7 @@
         const Duration usual = READ_TIMEOUT_FACTOR * (m_loop.now() - startedAt);
         channel.readTimeout = std::clamp(usual, MIN_READ_TIMEOUT, MAX_READ_TIMEOUT);
     }
-    handler(response);
+    handler(std::move(response));
 }
 
 void StoreLink::noteEra(const Channel &channel, const StoreResponse &response)
@@ -193,10 +194,10 @@
 void StoreLink::readConfiguration()
 {
     read(m_configuration, m_codec.readConfigurationRequest(), true,
-        [this](const StoreResponse &response) { handleConfigurationRead(response); });
+        [this](StoreResponse &&response) { handleConfigurationRead(std::move(response)); });
 }
 
-void StoreLink::handleConfigurationRead(const StoreResponse &response)
+void StoreLink::handleConfigurationRead(StoreResponse &&response)
 {
     if (response.status == NOT_FOUND) {
         setAvailable(m_configuration, true, "the store has no configuration yet");
@@ -210,11 +211,11 @@
     }
     try {
         m_watchedRevision.era = response.era;
-        ConfigurationPage page = m_codec.decodeConfigurationRead(response.body);
+        ConfigurationPage page = m_codec.decodeConfigurationRead(std::move(response.body));
         m_watchedRevision.revision = page.storeRevision;
         setAvailable(m_configuration, true, "read");
         noteConfigurationConfirmed();
-        handleConfigurationItem(std::move(page.items.front()), "read");
+        handleConfigurationItem(std::move(*page.latest), "read");
         watchConfiguration();
     } catch (const MessageFormatError &error) {
         LogEvent("store_answer_unreadable", LogEvent::Level::Error).field("reason", error.what());
@@ -233,10 +234,11 @@
     const Duration wait = m_listener.configurationWatchDuration();
     m_isWatching = true;
     begin(m_configuration, m_codec.watchConfigurationRequest(m_watchedRevision.revision, wait),
-        wait + WATCH_RESPONSE_MARGIN, [this](const StoreResponse &response) { handleConfigurationWatch(response); });
+        wait + WATCH_RESPONSE_MARGIN,
+        [this](StoreResponse &&response) { handleConfigurationWatch(std::move(response)); });
 }
 
-void StoreLink::handleConfigurationWatch(const StoreResponse &response)
+void StoreLink::handleConfigurationWatch(StoreResponse &&response)
 {
     m_isWatching = false;
     if (response.status != OK) {
@@ -254,11 +256,11 @@
         return;
     }
     try {
-        ConfigurationPage page = m_codec.decodeConfigurationWatch(response.body);
+        ConfigurationPage page = m_codec.decodeConfigurationWatch(std::move(response.body));
         m_watchedRevision.revision = std::max(m_watchedRevision.revision, page.storeRevision);
         noteConfigurationConfirmed();
-        if (!page.items.empty()) {
-            handleConfigurationItem(std::move(page.items.back()), "watch");
+        if (page.latest) {
+            handleConfigurationItem(std::move(*page.latest), "watch");
         }
         watchConfiguration();
     } catch (const MessageFormatError &error) {
@@ -430,7 +432,7 @@
     const std::string after = m_listItems.empty() ? std::string() : m_listItems.back().key;
     // The pages before a late one have been dropped.
     const bool isFirstPage = m_listItems.empty();
-    read(m_endpoints, m_codec.listEndpointsRequest(after), isFirstPage, [this](const StoreResponse &response) {
+    read(m_endpoints, m_codec.listEndpointsRequest(after), isFirstPage, [this](StoreResponse &&response) {
         if (response.status != OK) {
             setAvailable(m_endpoints, false, "status " + std::to_string(response.status));
             if (response.status == 0) {
@@ -441,7 +443,7 @@
             return;
         }
         try {
-            StorePage page = m_codec.decodePage(response.body);
+            StorePage page = m_codec.decodePage(std::move(response.body));
             if (m_listItems.empty()) {
                 m_listRevision = {response.era, page.storeRevision};
             } else if (response.era != m_listRevision.era) {
@@ -450,7 +452,7 @@
                 readEndpoints();
                 return;
             }
-            m_listItems.insert(m_listItems.end(), page.items.begin(), page.items.end());
+            std::move(page.items.begin(), page.items.end(), std::back_inserter(m_listItems));
             if (page.hasMore && !page.items.empty()) {
                 readEndpoints();
                 return;
--- a/src/gateway/storelink.h
+++ b/src/gateway/storelink.h
@@ -118,9 +118,9 @@
     void cancelTimers();
     void connect();
     void readConfiguration();
-    void handleConfigurationRead(const StoreResponse &response);
+    void handleConfigurationRead(StoreResponse &&response);
     void watchConfiguration();
-    void handleConfigurationWatch(const StoreResponse &response);
+    void handleConfigurationWatch(StoreResponse &&response);
     /** Begins to decode a version that the store returned, or keeps it until the one that is being decoded is done. */
     void handleConfigurationItem(ConfigurationItem item, const char *source);
     void beginDecoding(ConfigurationItem item, const ConfigurationOrigin &origin);
@@ -141,16 +141,16 @@
     void failListRead();
     const EndpointRecord *decodeCached(const StoreItem &item);
     void begin(Channel &channel, const StoreRequest &request, Duration timeout,
-        std::function<void(const StoreResponse &response)> responseHandler);
+        std::function<void(StoreResponse &&response)> responseHandler);
     void noteEra(const Channel &channel, const StoreResponse &response);
-    using ReadHandler = std::function<void(const StoreResponse &response)>;
+    using ReadHandler = std::function<void(StoreResponse &&response)>;
     /**
      * Begins a read. Its timeout follows the response times that the store has shown. After the timeout the handler is
      * called with a late response, and again if the store responds after all, before it has answered a later read.
      */
     void read(Channel &channel, const StoreRequest &request, bool isUsableLate, const ReadHandler &handler);
     void handleReadTimeout(Channel &channel, bool isUsableLate, const ReadHandler &handler);
-    void handleReadResponse(Channel &channel, const StoreCall *call, TimePoint startedAt, const StoreResponse &response,
+    void handleReadResponse(Channel &channel, const StoreCall *call, TimePoint startedAt, StoreResponse &&response,
         const ReadHandler &handler);
     /** Takes a call out of the late reads of the channel. */
     std::unique_ptr<StoreCall> takeLateRead(Channel &channel, const StoreCall *call);
--- a/src/transport/eventloop.cpp
+++ b/src/transport/eventloop.cpp
@@ -18,15 +18,17 @@
 constexpr Duration SHORT_ITERATION = milliseconds(5);
 /** A process that wakes up from a wait later than this was stopped or had no processor time. */
 constexpr Duration LATE_WAKEUP = milliseconds(20);
+/** Closes and deadlines that come meanwhile wait for the end of an iteration. */
+constexpr Duration MAX_RESPONSE_TIME = milliseconds(20);
 /** New requests get as much time as an iteration took for everything else, within these bounds: the next closes and
  * responses wait no longer than the longer one. */
 constexpr Duration MIN_NEW_REQUEST_TIME = milliseconds(10);
-constexpr Duration MAX_NEW_REQUEST_TIME = milliseconds(200);
+constexpr Duration MAX_NEW_REQUEST_TIME = milliseconds(20);
 
 /** Background tasks get this part of the time of an iteration, within these bounds. */
 constexpr int TASK_TIME_DIVISOR = 4;
 constexpr Duration MIN_TASK_TIME = milliseconds(5);
-constexpr Duration MAX_TASK_TIME = milliseconds(20);
+constexpr Duration MAX_TASK_TIME = milliseconds(10);
 
 /** The place of a kind of work in an iteration. Timers run between the last two, tasks after them. */
 int order(WorkKind kind)
@@ -167,21 +169,25 @@
     noteWork(event.kind);
 }
 
+Duration EventLoop::elapsed() const
+{
+    return monotonicTime() - m_now;
+}
+
 bool EventLoop::hasTimeForMore()
 {
     m_now = monotonicTime();
     return m_now < m_newRequestsUntil;
 }
 
-void EventLoop::handleNewRequests(const std::vector<Event> &events, std::size_t first)
+void EventLoop::handleUntil(
+    TimePoint until, std::vector<Event>::const_iterator begin, std::vector<Event>::const_iterator end)
 {
-    m_newRequestsUntil
-        = m_now + std::clamp(Duration(m_now - m_iterationStartedAt), MIN_NEW_REQUEST_TIME, MAX_NEW_REQUEST_TIME);
-    for (std::size_t i = first; i < events.size(); ++i) {
-        if (i == first || m_now < m_newRequestsUntil) {
-            handle(events[i]);
-        } else if (m_handlers.count(events[i].socket.impl()) > 0) {
-            m_waitingSince[events[i].socket.impl()] = events[i].since;
+    for (auto event = begin; event != end; ++event) {
+        if (event == begin || m_now < until) {
+            handle(*event);
+        } else if (m_handlers.count(event->socket.impl()) > 0) {
+            m_waitingSince[event->socket.impl()] = event->since;
         }
     }
 }
@@ -191,13 +197,19 @@
     const auto ready = poll(maxWait);
     m_now = m_polledAt;
     const std::vector<Event> events = orderedEvents(ready);
-    std::size_t next = 0;
-    for (; next < events.size() && events[next].kind != WorkKind::NewRequest; ++next) {
-        handle(events[next]);
-    }
+    const auto endOf = [&events](WorkKind kind) {
+        return std::partition_point(
+            events.begin(), events.end(), [kind](const Event &event) { return order(event.kind) <= order(kind); });
+    };
+    const auto responses = endOf(WorkKind::ClientClose);
+    const auto newRequests = endOf(WorkKind::Response);
+    handleUntil(TimePoint::max(), events.begin(), responses);
+    handleUntil(m_now + MAX_RESPONSE_TIME, responses, newRequests);
     m_eventSince = m_eventsSince;
     runExpiredTimers();
-    handleNewRequests(events, next);
+    m_newRequestsUntil
+        = m_now + std::clamp(Duration(m_now - m_iterationStartedAt), MIN_NEW_REQUEST_TIME, MAX_NEW_REQUEST_TIME);
+    handleUntil(m_newRequestsUntil, newRequests, events.end());
     m_eventSince = m_eventsSince;
     runTasks();
 }
--- a/src/transport/eventloop.h
+++ b/src/transport/eventloop.h
@@ -2,9 +2,9 @@
  * Event loop for sockets and timers. All callbacks run on the thread that calls runOnce().
  *
  * The order of an iteration keeps a process that falls behind from working for clients that have left: first closes of
- * clients, then responses and messages, then timers, then new requests. New requests get a limited time, the oldest
- * first; the others wait for the next iteration, and their age is known by then. Background tasks, which are done in
- * steps, get a share of the time at the end of each iteration.
+ * clients, then responses and messages, then timers, then new requests, and steps of background tasks at the end.
+ * Responses, new requests and tasks get a limited time each, which bounds the length of an iteration. What is left
+ * waits for the next one, the oldest events first, and their age is known by then.
  */
 #pragma once
 
@@ -61,6 +61,8 @@
     {
         return m_eventSince;
     }
+    /** How long the running callback has taken so far. */
+    Duration elapsed() const;
     /** How long something may have happened that no handler knows yet. */
     Duration lag() const
     {
@@ -119,7 +121,8 @@
     /** The events of the ready sockets, in the order in which they are to be handled. */
     std::vector<Event> orderedEvents(const Poco::Net::PollSet::SocketModeMap &ready);
     void handle(const Event &event);
-    void handleNewRequests(const std::vector<Event> &events, std::size_t first);
+    /** Handles the first of the events, and the others until that time. The rest waits for the next iteration. */
+    void handleUntil(TimePoint until, std::vector<Event>::const_iterator begin, std::vector<Event>::const_iterator end);
     /** Runs the timers that have expired by now; those that they add run in the next iteration at the earliest. */
     void runExpiredTimers();
     void runTasks();
--- a/test/correctness/endpointdirectory.cpp
+++ b/test/correctness/endpointdirectory.cpp
@@ -121,3 +121,22 @@
     directory.apply({record("a")}, {1, 1}, at(0));
     CHECK(kinds(directory.apply({record("a", false, 2)}, {1, 2}, at(1000))) == std::vector<Kind>{Kind::Restarted});
 }
+
+TEST_CASE("a list without changes is confirmed, unless entries were kept or left out")
+{
+    EndpointDirectory directory;
+    CHECK_FALSE(directory.confirm({1, 1}, at(0)));
+    directory.apply({record("a")}, {1, 90}, at(0));
+    CHECK(directory.confirm({1, 91}, at(500)));
+    CHECK(directory.revision() == StoreRevision{1, 91});
+    CHECK(directory.readAt() == at(500));
+    CHECK_FALSE(directory.confirm({1, 89}, at(600)));
+    CHECK_FALSE(directory.confirm({2, 95}, at(600)));
+    directory.noteReadFailed();
+    CHECK_FALSE(directory.confirm({1, 92}, at(5000)));
+    // The missing entry is kept for a while after the outage, and removed by a later list without changes.
+    CHECK(directory.apply({}, {1, 93}, at(5000)).empty());
+    CHECK_FALSE(directory.confirm({1, 94}, at(6000)));
+    CHECK(kinds(directory.apply({}, {1, 95}, at(9000))) == std::vector<Kind>{Kind::Removed});
+    CHECK(directory.confirm({1, 96}, at(9500)));
+}
