What endpoints state in their responses is read in one place and heard by all sends

Callers saw requests on endpoints that had said that they leave, and rejections by endpoints that had asked for a pause, while others were free.

Cause: Server-Leaving and the Retry-After of a 503 weren't decoded; only the list of endpoints, which may be late or silent about it, took an endpoint out of use.

Change: EndpointStatements keeps by incarnation what any response states, also an interim or late one: leaving, a pause, and (moved there) the limit. Candidates for each first send, resend, resumption and granted permit are asked there, and a connection that has just been established is asked once more. If all endpoints of a service leave, callers get 503 with the usual Retry-After; if they pause, 503 until the first pause ends.

--- a/src/gateway/admitrequest.cpp
+++ b/src/gateway/admitrequest.cpp
@@ -53,6 +53,8 @@
         return "process_behind";
     case GatewayRefusal::LimitReached:
         return "limit_reached";
+    case GatewayRefusal::EndpointsPaused:
+        return "endpoints_paused";
     case GatewayRefusal::Quarantined:
         return "quarantined";
     case GatewayRefusal::Stopping:
@@ -95,6 +97,7 @@
     case GatewayRefusal::Overloaded:
     case GatewayRefusal::ProcessBehind:
     case GatewayRefusal::LimitReached:
+    case GatewayRefusal::EndpointsPaused:
     case GatewayRefusal::Quarantined:
     case GatewayRefusal::Stopping:
     case GatewayRefusal::TimedOutUnsent:
--- a/src/gateway/admitrequest.h
+++ b/src/gateway/admitrequest.h
@@ -35,6 +35,8 @@
     ProcessBehind,
     /** The usable endpoints accept no more requests at present, by the limits that they state. */
     LimitReached,
+    /** The usable endpoints want no requests for a while, as they state. */
+    EndpointsPaused,
     /** Equal requests were in progress when endpoints crashed. */
     Quarantined,
     /** The process stops before the request could be completed. */
--- a/src/gateway/endpointdirectory.cpp
+++ b/src/gateway/endpointdirectory.cpp
@@ -119,6 +119,12 @@
     m_failedSinceRead = true;
 }
 
+const EndpointRecord *EndpointDirectory::find(const std::string &id) const
+{
+    const auto found = m_records.find(id);
+    return found == m_records.end() ? nullptr : &found->second;
+}
+
 std::vector<const EndpointRecord *> EndpointDirectory::usable(const std::string &service) const
 {
     std::vector<const EndpointRecord *> out;
--- a/src/gateway/endpointdirectory.h
+++ b/src/gateway/endpointdirectory.h
@@ -95,6 +95,8 @@
 
     /** The endpoints of a service that accept new requests. */
     std::vector<const EndpointRecord *> usable(const std::string &service) const;
+    /** Returns null if no endpoint of that id is known. */
+    const EndpointRecord *find(const std::string &id) const;
     const StoreRevision &revision() const
     {
         return m_revision;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -61,6 +61,7 @@
           loop, settings.peers, m_peers, [this] { return makeDigest(); }, *this)
     , m_parts(loop, m_peerLink, m_metrics, [this] { withdrawQuarantinedPrompts(); })
     , m_permits(loop, settings.name, m_peers, m_peerLink, m_metrics)
+    , m_statements(m_permits, m_metrics)
     , m_registration(loop, store, settings.store, settings.name, settings.peers,
           [this](const auto &name, const Address &address) { m_peers.addContact(name, address, m_loop.now()); })
     , m_incarnation(static_cast<std::uint64_t>(currentTime().time_since_epoch().count()))
@@ -372,6 +373,7 @@
     m_pool.expire(now);
     m_quarantine.expire(now);
     m_permits.expire();
+    m_statements.expire(m_endpoints, now);
     m_metrics.set("cyclamenturn_response_memory_bytes", {}, static_cast<double>(m_responseMemory.used()));
     m_metrics.set("cyclamenturn_store_calls", {}, static_cast<double>(m_store.calls()));
     m_metrics.set("cyclamenturn_endpoint_connections_opened", {}, static_cast<double>(m_pool.opened()));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -9,6 +9,7 @@
 #include "crashquarantine.h"
 #include "endpointdirectory.h"
 #include "endpointlist.h"
+#include "endpointstatements.h"
 #include "endpointstatistics.h"
 #include "estimatecorrection.h"
 #include "gatewaysettings.h"
@@ -115,6 +116,10 @@
     {
         return m_permits;
     }
+    EndpointStatements &statements()
+    {
+        return m_statements;
+    }
     IntakeDelay &intakeDelay()
     {
         return m_intakeDelay;
@@ -231,6 +236,7 @@
     PeerLink m_peerLink;
     PartWatch m_parts;
     PermitBroker m_permits;
+    EndpointStatements m_statements;
     Registration m_registration;
     std::uint64_t m_incarnation;
     std::uint32_t m_digestSequence = 0;
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -175,8 +175,9 @@
 std::vector<PlacementCandidate> RequestFlow::candidates()
 {
     std::vector<PlacementCandidate> out;
+    const TimePoint now = m_gateway.loop().now();
     for (const EndpointRecord *record : m_gateway.endpoints().usable(m_service)) {
-        if (m_triedEndpoints.count(record->id) == 0) {
+        if (m_triedEndpoints.count(record->id) == 0 && m_gateway.statements().accepts(*record, now)) {
             out.push_back(
                 {record, &m_gateway.statistics(record->id), m_gateway.peers().loadAt(endpointHash(record->id))});
         }
@@ -214,7 +215,12 @@
         }
         remove([&placement](const PlacementCandidate &candidate) { return candidate.record == placement.endpoint; });
     }
-    if (!waitForPermit()) {
+    if (waitForPermit()) {
+        return;
+    }
+    if (endOfPauses()) {
+        giveUp(AttemptOutcome::NotSent, GatewayRefusal::EndpointsPaused);
+    } else {
         giveUp(AttemptOutcome::NotSent,
             m_triedEndpoints.empty() ? GatewayRefusal::NoEndpoint : GatewayRefusal::NotReached);
     }
@@ -222,6 +228,11 @@
 
 bool RequestFlow::isStillWanted()
 {
+    if (m_connection && !m_gateway.statements().accepts(m_endpoint, m_gateway.loop().now())) {
+        withdrawAttempt();
+        sendToEndpoint();
+        return false;
+    }
     const bool isLate = timeLeft() <= Duration();
     const bool hasLeft = m_gateway.loop().lag() > UNNOTICED_LEAVE_TIME && m_callerResponse.isClosedByCaller();
     const std::optional<PartVerdict> verdict = m_witness.judgeParts();
@@ -231,9 +242,7 @@
     const char *reason = hasLeft ? "caller_left" : verdict ? "quarantined" : "timed_out";
     m_gateway.metrics().count("cyclamenturn_sends_avoided", {{"reason", reason}});
     if (m_connection) {
-        // The connection was established for this request, but no byte of it was sent.
-        endAttempt(false);
-        --m_sends;
+        withdrawAttempt();
     }
     if (hasLeft) {
         m_callerResponse.abortStream();
@@ -246,6 +255,28 @@
     return false;
 }
 
+void RequestFlow::withdrawAttempt()
+{
+    endAttempt(false);
+    --m_sends;
+}
+
+std::optional<TimePoint> RequestFlow::endOfPauses() const
+{
+    const TimePoint now = m_gateway.loop().now();
+    std::optional<TimePoint> out;
+    for (const EndpointRecord *record : m_gateway.endpoints().usable(m_service)) {
+        if (m_gateway.statements().accepts(*record, now)) {
+            return std::nullopt;
+        }
+        const auto until = m_gateway.statements().pausedUntil(*record, now);
+        if (until && (!out || *until < *out)) {
+            out = until;
+        }
+    }
+    return out;
+}
+
 bool RequestFlow::trySend(const Placement &placement)
 {
     auto connection = m_gateway.pool().acquire(*placement.endpoint, m_gateway.connectionLimit(m_service));
@@ -471,7 +502,7 @@
     if (m_responseTraits.load) {
         m_gateway.statistics(m_endpoint.id).noteLoad(*m_responseTraits.load, now);
     }
-    noteLimit();
+    noteStatements(m_responseTraits);
     const std::string *type = head.fields.find("Content-Type");
     m_isEventStream = isSuccess(head.status) && type != nullptr && type->rfind("text/event-stream", 0) == 0;
     // Only an endpoint's own response has the seal, unless it states that it didn't run the request. Any other status,
@@ -482,17 +513,16 @@
     }
 }
 
-void RequestFlow::noteLimit()
+void RequestFlow::headSkipped(const HttpResponseHead &head)
 {
-    const bool isFromEndpoint = m_responseTraits.hasServerSeal || m_responseTraits.isNotExecuted;
-    if (!isFromEndpoint || m_responseTraits.isOtherInstance) {
-        return;
-    }
-    if (m_responseTraits.isLimitUnreadable) {
-        LogEvent("endpoint_limit_unreadable", LogEvent::Level::Warning).field("endpoint", m_endpoint.id);
-        return;
+    noteStatements(m_gateway.messages().decodeResponse(head));
+}
+
+void RequestFlow::noteStatements(const ResponseTraits &response)
+{
+    if (m_gateway.statements().note(m_endpoint, response, m_sentAt, m_gateway.loop().now())) {
+        m_gateway.pool().closeIdleConnections(m_endpoint.id);
     }
-    m_gateway.permits().noteResponse(m_incarnation, m_responseTraits.limitPerSecond, m_sentAt);
 }
 
 void RequestFlow::bodyReceived(std::string piece)
@@ -761,6 +791,11 @@
 
 void RequestFlow::refuse(GatewayRefusal refusal)
 {
+    const TimePoint now = m_gateway.loop().now();
+    if (const auto pausedUntil = m_service.empty() ? std::nullopt : endOfPauses()) {
+        refuse(refusal, *pausedUntil - now);
+        return;
+    }
     const bool isWaitUnknown = refusal == GatewayRefusal::NoConfiguration || refusal == GatewayRefusal::NoEndpoint;
     const Duration callerTimeout = m_traits.callerTimeout.value_or(DEFAULT_CALLER_TIMEOUT);
     refuse(refusal, isWaitUnknown ? std::max(DEFAULT_RETRY_AFTER, callerTimeout * 3 / 10) : DEFAULT_RETRY_AFTER);
--- a/src/gateway/requestflow.h
+++ b/src/gateway/requestflow.h
@@ -41,6 +41,7 @@
     /** Whether the caller still waits. Otherwise the request has been ended, without a send that would be in vain. */
     bool isStillWanted() override;
     bool matchesRequest(const HttpResponseHead &head) override;
+    void headSkipped(const HttpResponseHead &head) override;
     void headReceived(const HttpResponseHead &head) override;
     void bodyReceived(std::string piece) override;
     void exchangeDone(bool isReusable) override;
@@ -76,8 +77,12 @@
     void abandonResponse(const char *where);
     /** Discards the part of the response that was collected. */
     void clearResponseBody();
-    /** Notes what the response states about the limit of its endpoint. */
-    void noteLimit();
+    /** Notes what a response states about its endpoint. */
+    void noteStatements(const ResponseTraits &response);
+    /** Returns the connection of the attempt to an endpoint that wants no requests any more, as nothing was sent. */
+    void withdrawAttempt();
+    /** When an endpoint of the service wants requests again, if all of them are paused or leave; otherwise nothing. */
+    std::optional<TimePoint> endOfPauses() const;
 
     void forwardEvents(const std::string &piece);
     void forwardEvent(const std::string &event);
--- a/src/gateway/requesttraits.h
+++ b/src/gateway/requesttraits.h
@@ -68,6 +68,10 @@
     std::optional<double> limitPerSecond;
     /** Whether the response states a limit that can't be read. */
     bool isLimitUnreadable = false;
+    /** Whether the endpoint states that it leaves. */
+    bool isLeaving = false;
+    /** How long the endpoint wants no requests of this process; stated as it rejects one. */
+    std::optional<Duration> pause;
     /** How long the endpoint keeps an idle connection open. */
     std::optional<Duration> keepAlive;
 };
--- a/src/transport/httpclientconnection.cpp
+++ b/src/transport/httpclientconnection.cpp
@@ -115,7 +115,9 @@
         m_headHandled = true;
         const HttpResponseHead &head = m_parser->response();
         m_isMismatched = head.status >= FIRST_FINAL_STATUS && !m_listener->matchesRequest(head);
-        if (!shouldSkipResponse()) {
+        if (shouldSkipResponse()) {
+            m_listener->headSkipped(head);
+        } else {
             m_listener->headReceived(head);
             if (exchangeEnded()) {
                 return false;
--- a/src/transport/httpclientconnection.h
+++ b/src/transport/httpclientconnection.h
@@ -30,7 +30,7 @@
 
 /**
  * Receives one response. The listener may destroy the connection from within any of these functions except
- * matchesRequest().
+ * matchesRequest() and headSkipped().
  */
 class ExchangeListener
 {
@@ -46,6 +46,10 @@
     }
     /** Returns whether a final response belongs to the current request. Responses to other requests are skipped. */
     virtual bool matchesRequest(const HttpResponseHead &head) = 0;
+    /** The head of a response that is skipped: an interim one, or one to another request. */
+    virtual void headSkipped(const HttpResponseHead &)
+    {
+    }
     virtual void headReceived(const HttpResponseHead &head) = 0;
     /** Called for each part of the body as it is received. */
     virtual void bodyReceived(std::string data) = 0;
--- a/test/correctness/platform_codecs.cpp
+++ b/test/correctness/platform_codecs.cpp
@@ -105,6 +105,26 @@
     CHECK(HEADER_CODEC.decodeResponse({421, "", {}}).isOtherInstance);
 }
 
+TEST_CASE("a response states whether its endpoint leaves, and a 503 how long it wants no requests")
+{
+    HttpResponseHead head{503, "", {}};
+    head.fields.add("Server-Leaving", "1");
+    head.fields.add("Retry-After", "1.5");
+    CHECK(HEADER_CODEC.decodeResponse(head).isLeaving);
+    CHECK(HEADER_CODEC.decodeResponse(head).pause == milliseconds(1500));
+    head.status = 500;
+    CHECK(HEADER_CODEC.decodeResponse(head).isLeaving);
+    CHECK_FALSE(HEADER_CODEC.decodeResponse(head).pause);
+    for (const char *value : {"-1", "0", "nan", "inf", "soon", "", "Fri, 04 Dec 2026 15:00:00 GMT"}) {
+        HttpResponseHead other{503, "", {}};
+        other.fields.add("Retry-After", value);
+        other.fields.add("Server-Leaving", "0");
+        INFO(value);
+        CHECK_FALSE(HEADER_CODEC.decodeResponse(other).pause);
+        CHECK_FALSE(HEADER_CODEC.decodeResponse(other).isLeaving);
+    }
+}
+
 TEST_CASE("the id of an event is found on any of its lines")
 {
     CHECK(HEADER_CODEC.eventId("id: 12\ndata: x\n\n") == "12");
