A stream goes on only at the software version that began it

Callers got streams that hold events of two software versions, whichever way a stream was interrupted.

Cause: a resumption was placed like any other request. Neither the version of an endpoint nor the attempt that the caller names was decoded, and a gateway can't know of streams that others began.

Change: the gateway that gets the first event of a stream that may be resumed records its version and sends it to two other gateways, the first ones of a rendezvous order by the stream, before the caller gets the event. A gateway at which a stream is taken up asks the first three, then up to 32 others, 230 ms at most. An unknown stream goes on only if the list has shown one version alone for the last minute; otherwise the caller gets 503 without Retry-After at once (stream_unknown), as it does when no endpoint of the version is left (stream_version_gone). Origins are keyed by attempt, key, host and path, kept for 60 s, 32,768 at most.

--- a/src/gateway/admitrequest.cpp
+++ b/src/gateway/admitrequest.cpp
@@ -55,6 +55,10 @@
         return "limit_reached";
     case GatewayRefusal::EndpointsPaused:
         return "endpoints_paused";
+    case GatewayRefusal::StreamUnknown:
+        return "stream_unknown";
+    case GatewayRefusal::StreamVersionGone:
+        return "stream_version_gone";
     case GatewayRefusal::Quarantined:
         return "quarantined";
     case GatewayRefusal::Stopping:
@@ -98,6 +102,8 @@
     case GatewayRefusal::ProcessBehind:
     case GatewayRefusal::LimitReached:
     case GatewayRefusal::EndpointsPaused:
+    case GatewayRefusal::StreamUnknown:
+    case GatewayRefusal::StreamVersionGone:
     case GatewayRefusal::Quarantined:
     case GatewayRefusal::Stopping:
     case GatewayRefusal::TimedOutUnsent:
--- a/src/gateway/admitrequest.h
+++ b/src/gateway/admitrequest.h
@@ -37,6 +37,10 @@
     LimitReached,
     /** The usable endpoints want no requests for a while, as they state. */
     EndpointsPaused,
+    /** A stream is to be resumed of which no gateway that can be reached knows the software version. */
+    StreamUnknown,
+    /** A stream is to be resumed, and no endpoint of its software version is left. */
+    StreamVersionGone,
     /** Equal requests were in progress when endpoints crashed. */
     Quarantined,
     /** The process stops before the request could be completed. */
--- a/src/gateway/endpointdirectory.h
+++ b/src/gateway/endpointdirectory.h
@@ -27,6 +27,8 @@
     std::string service;
     Address address;
     std::string failureDomain;
+    /** Of the endpoint's software; empty if it states none. */
+    std::string version;
     int slots = 1;
     /** The endpoint finishes its requests but accepts no new ones. */
     bool isLeaving = false;
@@ -35,9 +37,9 @@
 
     bool operator==(const EndpointRecord &other) const
     {
-        return std::tie(id, service, address, failureDomain, slots, isLeaving, startedAtMs)
-            == std::tie(other.id, other.service, other.address, other.failureDomain, other.slots, other.isLeaving,
-                other.startedAtMs);
+        return std::tie(id, service, address, failureDomain, version, slots, isLeaving, startedAtMs)
+            == std::tie(other.id, other.service, other.address, other.failureDomain, other.version, other.slots,
+                other.isLeaving, other.startedAtMs);
     }
     /** A short name that differs between incarnations, also under the same id. */
     std::string incarnationName() const;
--- a/src/gateway/endpointlist.cpp
+++ b/src/gateway/endpointlist.cpp
@@ -22,7 +22,8 @@
 void write(Poco::BinaryWriter &out, const EndpointRecord &record)
 {
     out << record.id << record.service << record.address.host << static_cast<Poco::UInt16>(record.address.port)
-        << record.failureDomain << Poco::Int32(record.slots) << record.isLeaving << Poco::Int64(record.startedAtMs);
+        << record.failureDomain << record.version << Poco::Int32(record.slots) << record.isLeaving
+        << Poco::Int64(record.startedAtMs);
 }
 
 bool read(Poco::BinaryReader &in, EndpointRecord &record)
@@ -34,7 +35,7 @@
         return false;
     }
     in >> port;
-    if (!readText(in, record.failureDomain)) {
+    if (!readText(in, record.failureDomain) || !readText(in, record.version)) {
         return false;
     }
     in >> slots >> record.isLeaving >> startedAtMs;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -62,6 +62,7 @@
     , m_parts(loop, m_peerLink, m_metrics, [this] { withdrawQuarantinedPrompts(); })
     , m_permits(loop, settings.name, m_peers, m_peerLink, m_metrics)
     , m_statements(m_permits, m_metrics)
+    , m_streams(loop, settings.name, m_peers, m_peerLink, m_metrics)
     , m_registration(loop, store, settings.store, settings.name, settings.peers,
           [this](const auto &name, const Address &address) { m_peers.addContact(name, address, m_loop.now()); })
     , m_incarnation(static_cast<std::uint64_t>(currentTime().time_since_epoch().count()))
@@ -81,6 +82,7 @@
     m_peerLink.start();
     m_parts.start();
     m_permits.start();
+    m_streams.start();
     housekeep();
 }
 
@@ -139,6 +141,26 @@
     m_parts.evidenceReceived(evidence);
 }
 
+void Gateway::streamNoteReceived(const StreamOrigin &origin)
+{
+    m_streams.noteReceived(origin);
+}
+
+void Gateway::streamQuestionReceived(const StreamQuestion &question, const Address &from)
+{
+    m_streams.questionReceived(question, from);
+}
+
+void Gateway::streamAnswerReceived(const StreamAnswer &answer)
+{
+    m_streams.answerReceived(answer);
+}
+
+std::optional<VersionKey> Gateway::soleVersion(const std::string &service) const
+{
+    return m_endpoints.readAt() ? m_versions.soleVersion(service, *m_endpoints.readAt(), m_loop.now()) : std::nullopt;
+}
+
 void Gateway::withdrawQuarantinedPrompts()
 {
     // A request that ends removes itself from m_flows.
@@ -374,6 +396,7 @@
     m_quarantine.expire(now);
     m_permits.expire();
     m_statements.expire(m_endpoints, now);
+    m_streams.expire();
     m_metrics.set("cyclamenturn_response_memory_bytes", {}, static_cast<double>(m_responseMemory.used()));
     m_metrics.set("cyclamenturn_store_calls", {}, static_cast<double>(m_store.calls()));
     m_metrics.set("cyclamenturn_endpoint_connections_opened", {}, static_cast<double>(m_pool.opened()));
@@ -448,7 +471,9 @@
     }
     m_appliedList = m_list.generation();
     const bool wasReady = isReady();
-    for (const auto &change : m_endpoints.apply(m_list.records(), m_list.revision(), m_loop.now())) {
+    const std::vector<EndpointRecord> records = m_list.records();
+    m_versions.update(records, m_loop.now());
+    for (const auto &change : m_endpoints.apply(records, m_list.revision(), m_loop.now())) {
         const std::string &id = change.record.id;
         switch (change.kind) {
         case EndpointChange::Kind::Added:
@@ -492,6 +517,7 @@
     LogEvent(event)
         .field("endpoint", record.id)
         .field("service", record.service)
+        .field("version", record.version)
         .field("address", toString(record.address))
         .field("revision", static_cast<long long>(m_list.revision().revision))
         .field("era", static_cast<long long>(m_list.revision().era));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -24,6 +24,8 @@
 #include "retrywindow.h"
 #include "stopplan.h"
 #include "storelink.h"
+#include "streambroker.h"
+#include "versionhistory.h"
 
 #include "logbudget.h"
 #include "metrics.h"
@@ -120,6 +122,12 @@
     {
         return m_statements;
     }
+    StreamBroker &streams()
+    {
+        return m_streams;
+    }
+    /** The version of all endpoints of the service that have been listed recently; nothing if there were several. */
+    std::optional<VersionKey> soleVersion(const std::string &service) const;
     IntakeDelay &intakeDelay()
     {
         return m_intakeDelay;
@@ -180,6 +188,9 @@
     void permitAnswerReceived(const PermitAnswer &answer) override;
     void endpointLimitReceived(const EndpointLimit &limit) override;
     void partEvidenceReceived(const PartEvidence &evidence) override;
+    void streamNoteReceived(const StreamOrigin &origin) override;
+    void streamQuestionReceived(const StreamQuestion &question, const Address &from) override;
+    void streamAnswerReceived(const StreamAnswer &answer) override;
 
     void handleCaller(const HttpServerConnectionPtr &connection, ReceivedRequest request);
     HttpResponseHead handleRejection(const RejectedRequest &request);
@@ -237,6 +248,8 @@
     PartWatch m_parts;
     PermitBroker m_permits;
     EndpointStatements m_statements;
+    StreamBroker m_streams;
+    VersionHistory m_versions;
     Registration m_registration;
     std::uint64_t m_incarnation;
     std::uint32_t m_digestSequence = 0;
--- a/src/gateway/peerdatagram.h
+++ b/src/gateway/peerdatagram.h
@@ -16,12 +16,15 @@
 
 /** The first byte of a datagram. A changed format needs a new value; those of earlier formats aren't used again. */
 enum class DatagramKind : std::uint8_t {
-    EndpointListUpdate = 2,
     Digest = 3,
     PermitQuestion = 4,
     PermitAnswer = 5,
     LimitNotice = 6,
     PartEvidence = 7,
+    EndpointListUpdate = 8,
+    StreamNote = 9,
+    StreamQuestion = 10,
+    StreamAnswer = 11,
 };
 
 /** Size of the largest datagram that is sent or received. */
--- a/src/gateway/peerlink.cpp
+++ b/src/gateway/peerlink.cpp
@@ -68,6 +68,9 @@
 
 void PeerLink::handleDatagram(const std::string &bytes, const Address &sender)
 {
+    if (handleStreamMessage(bytes, sender)) {
+        return;
+    }
     const TimePoint now = m_loop.now();
     if (const auto digest = decodeDigest(bytes, now)) {
         if (m_view.apply(*digest, sender, now)) {
@@ -93,6 +96,30 @@
     }
 }
 
+bool PeerLink::handleStreamMessage(const std::string &bytes, const Address &sender)
+{
+    // At a gateway that has just started, and in large fleets, few senders count as live.
+    switch (static_cast<DatagramKind>(bytes.front())) {
+    case DatagramKind::StreamNote:
+        if (const auto origin = decodeStreamNote(bytes); origin && m_view.isKnown(sender)) {
+            m_listener.streamNoteReceived(*origin);
+        }
+        return true;
+    case DatagramKind::StreamQuestion:
+        if (const auto question = decodeStreamQuestion(bytes)) {
+            m_listener.streamQuestionReceived(*question, sender);
+        }
+        return true;
+    case DatagramKind::StreamAnswer:
+        if (const auto answer = decodeStreamAnswer(bytes); answer && m_view.isKnown(sender)) {
+            m_listener.streamAnswerReceived(*answer);
+        }
+        return true;
+    default:
+        return false;
+    }
+}
+
 void PeerLink::send(const std::string &bytes, const Address &to)
 {
     try {
--- a/src/gateway/peerlink.h
+++ b/src/gateway/peerlink.h
@@ -8,6 +8,7 @@
 #include "partevidence.h"
 #include "peerview.h"
 #include "permitmessages.h"
+#include "streammessages.h"
 
 #include "transport/eventloop.h"
 
@@ -29,6 +30,9 @@
     virtual void permitAnswerReceived(const PermitAnswer &answer) = 0;
     virtual void endpointLimitReceived(const EndpointLimit &limit) = 0;
     virtual void partEvidenceReceived(const PartEvidence &evidence) = 0;
+    virtual void streamNoteReceived(const StreamOrigin &origin) = 0;
+    virtual void streamQuestionReceived(const StreamQuestion &question, const Address &from) = 0;
+    virtual void streamAnswerReceived(const StreamAnswer &answer) = 0;
 };
 
 class PeerLink : private SocketHandler
@@ -58,6 +62,8 @@
 private:
     void socketReady(int modes) override;
     void handleDatagram(const std::string &bytes, const Address &sender);
+    /** Handles a message about a stream. Returns whether it was one. */
+    bool handleStreamMessage(const std::string &bytes, const Address &sender);
     void sendRound();
 
     EventLoop &m_loop;
--- a/src/gateway/peerview.h
+++ b/src/gateway/peerview.h
@@ -55,6 +55,11 @@
         return m_membersVersion;
     }
     std::optional<Address> addressOf(const std::string &name) const;
+    /** Whether a gateway has that address to which digests are sent. */
+    bool isKnown(const Address &address) const
+    {
+        return m_contacts.count(address) != 0 || isLive(address);
+    }
     /** Whether a live peer has that address. */
     bool isLive(const Address &address) const;
     /** The highest version of the configuration that a live peer applies; 0 without peers. */
--- a/src/gateway/registration.cpp
+++ b/src/gateway/registration.cpp
@@ -58,8 +58,7 @@
     m_timer = m_loop.callAfter(wait, [this, step] { (this->*step)(); });
 }
 
-void Registration::begin(
-    const StoreRequest &request, std::function<void(StoreResponse &&response)> responseHandler)
+void Registration::begin(const StoreRequest &request, std::function<void(StoreResponse &&response)> responseHandler)
 {
     ++m_calls;
     m_call->begin(request, CALL_TIMEOUT, std::move(responseHandler));
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -119,7 +119,11 @@
         m_gateway.placement().noteStarted(*m_traits.prompt, m_admitted.route->priority, now);
         m_isDemandCounted = true;
     }
-    sendToEndpoint();
+    if (isResumption()) {
+        resolveVersion();
+    } else {
+        sendToEndpoint();
+    }
 }
 
 void RequestFlow::refuseQuarantinedPart(const PartVerdict &verdict)
@@ -177,7 +181,9 @@
     std::vector<PlacementCandidate> out;
     const TimePoint now = m_gateway.loop().now();
     for (const EndpointRecord *record : m_gateway.endpoints().usable(m_service)) {
-        if (m_triedEndpoints.count(record->id) == 0 && m_gateway.statements().accepts(*record, now)) {
+        const bool isOtherVersion = m_version && versionKey(*record) != *m_version;
+        if (!isOtherVersion && m_triedEndpoints.count(record->id) == 0
+            && m_gateway.statements().accepts(*record, now)) {
             out.push_back(
                 {record, &m_gateway.statistics(record->id), m_gateway.peers().loadAt(endpointHash(record->id))});
         }
@@ -190,6 +196,10 @@
     if (!isStillWanted()) {
         return;
     }
+    if (m_version && !hasVersion(m_service)) {
+        giveUp(AttemptOutcome::NotSent, GatewayRefusal::StreamVersionGone);
+        return;
+    }
     const TimePoint now = m_gateway.loop().now();
     const PromptTraits *prompt = m_traits.prompt ? &*m_traits.prompt : nullptr;
     std::vector<PlacementCandidate> remaining = candidates();
@@ -581,6 +591,9 @@
         m_lastEventId = id;
     }
     const bool isFirst = !m_callerResponse.isStreamStarted();
+    if (isFirst) {
+        noteStreamBegun();
+    }
     m_callerResponse.sendEvent(m_responseHead, event, m_gateway.loop().now());
     if (isFirst) {
         m_gateway.metrics().observe("cyclamenturn_first_event_seconds", {{"route", m_admitted.route->name}},
@@ -804,6 +817,10 @@
 void RequestFlow::refuse(GatewayRefusal refusal, Duration retryAfter)
 {
     HttpResponseHead head = refusalHead(statusOf(refusal), retryAfter);
+    if (refusal == GatewayRefusal::StreamUnknown || refusal == GatewayRefusal::StreamVersionGone) {
+        // The stream can't go on later either; the caller has to begin anew.
+        head.fields.remove("Retry-After");
+    }
     head.fields.add("Content-Type", "text/plain");
     m_gateway.metrics().count("cyclamenturn_refusals", {{"reason", toString(refusal)}});
     respond(std::move(head), std::string(toString(refusal)) + "\n", toString(refusal));
--- a/src/gateway/requestflow.h
+++ b/src/gateway/requestflow.h
@@ -11,6 +11,7 @@
 #include "permitdecision.h"
 #include "placement.h"
 #include "resendpolicy.h"
+#include "streamorigin.h"
 
 #include "transport/httpclientconnection.h"
 
@@ -51,6 +52,15 @@
     void refuseQuarantinedPart(const PartVerdict &verdict);
     /** Refuses the request and returns true when this process is too far behind for it. */
     bool refuseIfBehind();
+    /** Whether the caller takes up a stream of which it has had events. */
+    bool isResumption() const;
+    /** Finds out which version began the stream that the caller takes up, and goes on with it. */
+    void resolveVersion();
+    void versionResolved(std::optional<VersionKey> version, const char *source);
+    /** Makes the stream that begins now go on at this version only, also at other gateways. */
+    void noteStreamBegun();
+    /** Whether an endpoint of the version that began the stream is usable. */
+    bool hasVersion(const std::string &service) const;
     void sendToEndpoint();
     /** The usable endpoints of the service that haven't been tried. */
     std::vector<PlacementCandidate> candidates();
@@ -149,6 +159,8 @@
     int m_sends = 0;
     /** Whether an endpoint may have run the request. */
     bool m_mayHaveRun = false;
+    /** The version that began the stream; endpoints of others can't go on with it. */
+    std::optional<VersionKey> m_version;
     EventSplitter m_splitter;
     std::string m_lastEventId;
     /** Id of the endpoint for which a permit was asked. */
--- /dev/null
+++ b/src/gateway/requestflowresumption.cpp
@@ -0,0 +1,92 @@
+/** \file
+ * Resumption of streams: a stream goes on only at the software version that began it.
+ */
+#include "requestflow.h"
+
+#include "eventlog.h"
+#include "gateway.h"
+
+#include <algorithm>
+
+namespace Cyclamenturn
+{
+
+namespace
+{
+
+/** Ids of callers are cut in log lines. */
+constexpr std::size_t MAX_LOGGED_ID = 64;
+
+}
+
+bool RequestFlow::isResumption() const
+{
+    return m_admitted.route->kind == RequestKind::Stream
+        && (!m_traits.lastEventId.empty() || !m_traits.resumedAttempt.empty());
+}
+
+void RequestFlow::resolveVersion()
+{
+    if (m_traits.resumedAttempt.empty()) {
+        versionResolved(std::nullopt, "none");
+        return;
+    }
+    const StreamKey stream = streamKey(
+        m_traits.resumedAttempt, m_traits.key, requestedHost(m_request.head), requestedPath(m_request.head));
+    m_gateway.streams().resolve(stream, [reference = m_gateway.reference(this)](std::optional<VersionKey> version) {
+        if (const auto flow = reference.lock()) {
+            flow->versionResolved(version, "origin");
+        }
+    });
+}
+
+void RequestFlow::versionResolved(std::optional<VersionKey> version, const char *source)
+{
+    if (m_finished) {
+        return;
+    }
+    if (!version) {
+        version = m_gateway.soleVersion(m_service);
+        source = version ? "sole_version" : "unknown";
+    }
+    m_version = version;
+    if (version) {
+        const auto &services = m_admitted.route->services;
+        const auto found = std::find_if(
+            services.begin(), services.end(), [this](const auto &item) { return hasVersion(item.service); });
+        m_service = found != services.end() ? found->service : m_service;
+    }
+    const char *outcome = !version ? "unknown" : hasVersion(m_service) ? "known" : "gone";
+    m_gateway.metrics().count("cyclamenturn_stream_resumptions", {{"outcome", outcome}});
+    LogEvent("stream_taken_up")
+        .field("request", m_traits.attemptId)
+        .field("resumes", m_traits.resumedAttempt.substr(0, MAX_LOGGED_ID))
+        .field("last_event", m_traits.lastEventId.substr(0, MAX_LOGGED_ID))
+        .field("outcome", outcome)
+        .field("source", source)
+        .field("asked_ms", toMilliseconds(m_gateway.loop().now() - m_request.readAt));
+    if (!version) {
+        refuse(GatewayRefusal::StreamUnknown);
+        return;
+    }
+    sendToEndpoint();
+}
+
+bool RequestFlow::hasVersion(const std::string &service) const
+{
+    const auto endpoints = m_gateway.endpoints().usable(service);
+    return std::any_of(
+        endpoints.begin(), endpoints.end(), [this](const auto *record) { return versionKey(*record) == *m_version; });
+}
+
+void RequestFlow::noteStreamBegun()
+{
+    m_version = versionKey(m_endpoint);
+    if (m_admitted.route->canResume && !isResumption()) {
+        const StreamKey stream
+            = streamKey(m_traits.attemptId, m_traits.key, requestedHost(m_request.head), requestedPath(m_request.head));
+        m_gateway.streams().noteBegun({stream, *m_version});
+    }
+}
+
+}
--- a/src/gateway/requesttraits.h
+++ b/src/gateway/requesttraits.h
@@ -42,6 +42,8 @@
     std::optional<PromptTraits> prompt;
     /** Id of the event after which the caller resumes a stream. */
     std::string lastEventId;
+    /** Id of the caller's attempt that brought the first event of the stream that it resumes. */
+    std::string resumedAttempt;
 };
 
 /** Load of an endpoint at the time of its response. */
--- /dev/null
+++ b/src/gateway/streambroker.cpp
@@ -0,0 +1,168 @@
+/** \file
+ * Exchange of the origins of streams between gateways.
+ */
+#include "streambroker.h"
+
+#include "streamowners.h"
+
+#include <algorithm>
+#include <random>
+
+namespace Cyclamenturn
+{
+
+namespace
+{
+
+/** A gateway answers within a few milliseconds, small and busy ones within a few tens. */
+constexpr Duration OWNERS_TIMEOUT = milliseconds(80);
+constexpr Duration LAST_ROUND_TIMEOUT = milliseconds(150);
+/** If the owners don't know a stream, so many others are asked: the gateway that began it may be among them. */
+constexpr std::size_t MAX_ASKED_LAST = 32;
+/** After its start, a gateway learns of the others within this time, and asks again until then. */
+constexpr Duration SETTLING_TIME = milliseconds(600);
+
+}
+
+StreamBroker::StreamBroker(EventLoop &loop, std::string ownName, PeerView &peers, PeerLink &link, Metrics &metrics)
+    : m_loop(loop)
+    , m_ownName(std::move(ownName))
+    , m_peers(peers)
+    , m_link(link)
+    , m_metrics(metrics)
+    , m_nextId(std::random_device{}())
+{
+}
+
+StreamBroker::~StreamBroker()
+{
+    for (const auto &[id, pending] : m_pending) {
+        m_loop.cancel(pending.timer);
+    }
+}
+
+void StreamBroker::start()
+{
+    m_startedAt = m_loop.now();
+}
+
+bool StreamBroker::isSettled() const
+{
+    return m_loop.now() - m_startedAt >= SETTLING_TIME;
+}
+
+const std::vector<std::string> &StreamBroker::gateways()
+{
+    if (m_membersVersion != m_peers.membersVersion()) {
+        m_membersVersion = m_peers.membersVersion();
+        m_gateways = m_peers.members();
+        m_gateways.push_back(m_ownName);
+    }
+    return m_gateways;
+}
+
+void StreamBroker::noteBegun(const StreamOrigin &origin)
+{
+    m_origins.note(origin, m_loop.now());
+    const std::string bytes = encodeStreamNote(origin);
+    std::size_t copies = 0;
+    for (const std::string &name : rankedGateways(origin.stream, gateways(), STREAM_OWNERS_ASKED)) {
+        const auto address = name == m_ownName ? std::nullopt : m_peers.addressOf(name);
+        if (address && copies < STREAM_COPIES) {
+            m_link.send(bytes, *address);
+            ++copies;
+        }
+    }
+    m_metrics.count("cyclamenturn_stream_notes_sent", {}, static_cast<double>(copies));
+}
+
+void StreamBroker::resolve(StreamKey stream, Handler handler)
+{
+    const std::optional<VersionKey> known = m_origins.find(stream, m_loop.now());
+    if (known || m_pending.size() >= MAX_PENDING) {
+        handler(known);
+        return;
+    }
+    const std::uint32_t id = ++m_nextId;
+    m_pending[id] = {stream, std::move(handler), m_loop.now(), 0, false, {}};
+    ask(id, rankedGateways(stream, gateways(), STREAM_OWNERS_ASKED), OWNERS_TIMEOUT);
+}
+
+void StreamBroker::ask(std::uint32_t id, const std::vector<std::string> &names, Duration timeout)
+{
+    Pending &pending = m_pending.at(id);
+    const std::string bytes = encodeStreamQuestion({id, pending.stream});
+    pending.unanswered = 0;
+    for (const std::string &name : names) {
+        const auto address = name == m_ownName ? std::nullopt : m_peers.addressOf(name);
+        if (address) {
+            m_link.send(bytes, *address);
+            ++pending.unanswered;
+        }
+    }
+    m_metrics.count("cyclamenturn_stream_questions_sent", {}, static_cast<double>(pending.unanswered));
+    const bool isNobodyAsked = pending.unanswered == 0 && isSettled();
+    pending.timer = m_loop.callAfter(isNobodyAsked ? Duration(0) : timeout, [this, id] { endRound(id); });
+}
+
+void StreamBroker::endRound(std::uint32_t id)
+{
+    Pending &pending = m_pending.at(id);
+    m_loop.cancel(pending.timer);
+    if (!pending.isLastRound) {
+        pending.isLastRound = true;
+        ask(id, rankedGateways(pending.stream, gateways(), MAX_ASKED_LAST), LAST_ROUND_TIMEOUT);
+    } else if (!isSettled()) {
+        pending.isLastRound = false;
+        ask(id, rankedGateways(pending.stream, gateways(), STREAM_OWNERS_ASKED), OWNERS_TIMEOUT);
+    } else {
+        finish(id, std::nullopt);
+    }
+}
+
+void StreamBroker::finish(std::uint32_t id, std::optional<VersionKey> version)
+{
+    const auto found = m_pending.find(id);
+    const Pending pending = std::move(found->second);
+    m_loop.cancel(pending.timer);
+    m_pending.erase(found);
+    m_metrics.observe("cyclamenturn_stream_question_seconds", {{"outcome", version ? "known" : "unknown"}},
+        m_loop.now() - pending.startedAt);
+    pending.handler(version);
+}
+
+void StreamBroker::noteReceived(const StreamOrigin &origin)
+{
+    m_origins.note(origin, m_loop.now());
+}
+
+void StreamBroker::questionReceived(const StreamQuestion &question, const Address &from)
+{
+    m_link.send(
+        encodeStreamAnswer({question.id, question.stream, m_origins.find(question.stream, m_loop.now())}), from);
+}
+
+void StreamBroker::answerReceived(const StreamAnswer &answer)
+{
+    const auto found = m_pending.find(answer.id);
+    if (found == m_pending.end() || found->second.stream != answer.stream) {
+        return;
+    }
+    if (answer.version) {
+        m_origins.note({answer.stream, *answer.version}, m_loop.now());
+        finish(answer.id, answer.version);
+        return;
+    }
+    Pending &pending = found->second;
+    if (pending.unanswered > 0 && --pending.unanswered == 0) {
+        endRound(answer.id);
+    }
+}
+
+void StreamBroker::expire()
+{
+    m_origins.expire(m_loop.now());
+    m_metrics.set("cyclamenturn_stream_origins", {}, static_cast<double>(m_origins.size()));
+}
+
+}
--- /dev/null
+++ b/src/gateway/streambroker.h
@@ -0,0 +1,81 @@
+/** \file
+ * Tells other gateways which version began a stream, and asks them when a stream is taken up again at this one. The
+ * gateway that began the stream may have ended since.
+ */
+#pragma once
+
+#include "peerlink.h"
+#include "streammessages.h"
+#include "streamorigins.h"
+
+#include "metrics.h"
+#include "transport/eventloop.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace Cyclamenturn
+{
+
+class StreamBroker
+{
+public:
+    /** Receives the version that began the stream, or nothing if no gateway that can be reached knows it. */
+    using Handler = std::function<void(std::optional<VersionKey> version)>;
+
+    /** Questions that may wait for answers; further ones are answered with nothing. */
+    static constexpr std::size_t MAX_PENDING = 4096;
+
+    StreamBroker(EventLoop &loop, std::string ownName, PeerView &peers, PeerLink &link, Metrics &metrics);
+    ~StreamBroker();
+
+    void start();
+    /** Records the origin of a stream and sends it to its owners, before the first event is sent to the caller. */
+    void noteBegun(const StreamOrigin &origin);
+    /** Finds out which version began the stream. Calls `handler` once, immediately or from the event loop. */
+    void resolve(StreamKey stream, Handler handler);
+
+    void noteReceived(const StreamOrigin &origin);
+    void questionReceived(const StreamQuestion &question, const Address &from);
+    void answerReceived(const StreamAnswer &answer);
+    void expire();
+
+private:
+    struct Pending
+    {
+        StreamKey stream = 0;
+        Handler handler;
+        TimePoint startedAt;
+        /** Number of answers that this round of questions still waits for. */
+        std::size_t unanswered = 0;
+        bool isLastRound = false;
+        EventLoop::Timer timer;
+    };
+
+    /** The names of all gateways, this one included. */
+    const std::vector<std::string> &gateways();
+    /** Sends a question to these gateways; the round ends with all answers, or after `timeout`. */
+    void ask(std::uint32_t id, const std::vector<std::string> &names, Duration timeout);
+    void endRound(std::uint32_t id);
+    void finish(std::uint32_t id, std::optional<VersionKey> version);
+    /** Whether this gateway has run long enough to know the others. */
+    bool isSettled() const;
+
+    EventLoop &m_loop;
+    std::string m_ownName;
+    PeerView &m_peers;
+    PeerLink &m_link;
+    Metrics &m_metrics;
+    StreamOrigins m_origins;
+    std::vector<std::string> m_gateways;
+    std::uint64_t m_membersVersion = 0;
+    TimePoint m_startedAt;
+    /** Streams whose origin is being asked for, by the id of the question. */
+    std::map<std::uint32_t, Pending> m_pending;
+    /** Starts at random, so that late answers to a previous process match no question. */
+    std::uint32_t m_nextId;
+};
+
+}
--- /dev/null
+++ b/src/gateway/streamorigin.h
@@ -0,0 +1,39 @@
+/** \file
+ * Which software version began a stream. What two versions write doesn't fit together, so a stream may go on only at
+ * endpoints of the version that wrote its first event.
+ */
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <tuple>
+
+namespace Cyclamenturn
+{
+
+struct EndpointRecord;
+
+/** Identifies a stream by the attempt that brought its first event, together with the caller's key and the request's
+ * host and path, so that nobody reaches the stream of another caller or request. */
+using StreamKey = std::uint64_t;
+/** Identifies a software version of a service. */
+using VersionKey = std::uint64_t;
+
+StreamKey streamKey(
+    const std::string &attemptId, const std::string &callerKey, const std::string &host, std::string_view path);
+VersionKey versionKey(const EndpointRecord &endpoint);
+
+/** Tells that endpoints of this version began the stream. */
+struct StreamOrigin
+{
+    StreamKey stream = 0;
+    VersionKey version = 0;
+
+    bool operator==(const StreamOrigin &other) const
+    {
+        return std::tie(stream, version) == std::tie(other.stream, other.version);
+    }
+};
+
+}
--- /dev/null
+++ b/src/gateway/versionhistory.cpp
@@ -0,0 +1,49 @@
+/** \file
+ * History of software versions.
+ */
+#include "versionhistory.h"
+
+#include "endpointdirectory.h"
+#include "streamorigins.h"
+
+namespace Cyclamenturn
+{
+
+void VersionHistory::update(const std::vector<EndpointRecord> &list, TimePoint now)
+{
+    m_since = m_since.value_or(now);
+    for (auto &[service, versions] : m_listings) {
+        for (auto it = versions.begin(); it != versions.end();) {
+            Listing &listing = it->second;
+            listing.listedUntil = listing.isListed ? now : listing.listedUntil;
+            listing.isListed = false;
+            it = now - listing.listedUntil >= StreamOrigins::RETENTION ? versions.erase(it) : std::next(it);
+        }
+    }
+    for (const EndpointRecord &record : list) {
+        m_listings[record.service][versionKey(record)].isListed = true;
+    }
+}
+
+std::optional<VersionKey> VersionHistory::soleVersion(
+    const std::string &service, TimePoint listReadAt, TimePoint now) const
+{
+    const auto found = m_listings.find(service);
+    const bool isComplete = m_since && now - *m_since >= StreamOrigins::RETENTION && now - listReadAt <= MAX_LIST_AGE;
+    if (found == m_listings.end() || !isComplete) {
+        return std::nullopt;
+    }
+    std::optional<VersionKey> out;
+    for (const auto &[version, listing] : found->second) {
+        if (!listing.isListed && now - listing.listedUntil >= StreamOrigins::RETENTION) {
+            continue;
+        }
+        if (out) {
+            return std::nullopt;
+        }
+        out = version;
+    }
+    return out;
+}
+
+}
--- /dev/null
+++ b/src/gateway/versionhistory.h
@@ -0,0 +1,45 @@
+/** \file
+ * The software versions of each service that the list of endpoints has shown recently.
+ */
+#pragma once
+
+#include "streamorigin.h"
+#include "timepoint.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Cyclamenturn
+{
+
+class VersionHistory
+{
+public:
+    /** The list may lag behind the endpoints by as much, so a version is told of only if the list is this recent. */
+    static constexpr Duration MAX_LIST_AGE = milliseconds(3000);
+
+    /** Notes the endpoints that are listed from now on. */
+    void update(const std::vector<EndpointRecord> &list, TimePoint now);
+    /**
+     * The version of all endpoints of the service that were listed within StreamOrigins::RETENTION; nothing if there
+     * were several, or if the list wasn't known for so long. Any stream of the service that can still be taken up began
+     * at this version. `listReadAt` is when the list was last read.
+     */
+    std::optional<VersionKey> soleVersion(const std::string &service, TimePoint listReadAt, TimePoint now) const;
+
+private:
+    struct Listing
+    {
+        bool isListed = false;
+        /** Unless it is listed now. */
+        TimePoint listedUntil;
+    };
+
+    std::optional<TimePoint> m_since;
+    /** By service and version. */
+    std::map<std::string, std::map<VersionKey, Listing>> m_listings;
+};
+
+}
--- a/test/correctness/endpointstatements.cpp
+++ b/test/correctness/endpointstatements.cpp
@@ -39,6 +39,15 @@
     void partEvidenceReceived(const PartEvidence &) override
     {
     }
+    void streamNoteReceived(const StreamOrigin &) override
+    {
+    }
+    void streamQuestionReceived(const StreamQuestion &, const Address &) override
+    {
+    }
+    void streamAnswerReceived(const StreamAnswer &) override
+    {
+    }
 };
 
 struct Fixture
@@ -63,7 +72,7 @@
 
 EndpointRecord endpoint(const std::string &id, std::int64_t startedAtMs = 1)
 {
-    return {id, "s", {"10.0.0.1", 80}, "d", 4, false, startedAtMs};
+    return {id, "s", {"10.0.0.1", 80}, "d", "v1", 4, false, startedAtMs};
 }
 
 }
--- /dev/null
+++ b/test/correctness/streamorigins.cpp
@@ -0,0 +1,161 @@
+/** \file
+ * Which version a stream goes on at: what gateways keep of streams, where they keep it, and what the list of endpoints
+ * tells when they don't know.
+ */
+#include "gateway/streamorigins.h"
+#include "gateway/endpointdirectory.h"
+#include "gateway/streammessages.h"
+#include "gateway/streamowners.h"
+#include "gateway/versionhistory.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <random>
+#include <set>
+
+using namespace Cyclamenturn;
+
+namespace
+{
+
+TimePoint at(std::int64_t ms)
+{
+    return timeFromMilliseconds(1000000 + ms);
+}
+
+EndpointRecord endpoint(const std::string &id, const std::string &version, const std::string &service = "s")
+{
+    EndpointRecord out;
+    out.id = id;
+    out.service = service;
+    out.version = version;
+    return out;
+}
+
+std::vector<std::string> gateways(int count)
+{
+    std::vector<std::string> out;
+    for (int i = 0; i < count; ++i) {
+        out.push_back("front-" + std::to_string(i));
+    }
+    return out;
+}
+
+const std::int64_t RETENTION_MS = toMilliseconds(StreamOrigins::RETENTION);
+
+}
+
+TEST_CASE("an attempt of another key, host or path is another stream")
+{
+    const StreamKey key = streamKey("id", "key", "h", "/a/");
+    CHECK(key == streamKey("id", "key", "h", "/a/"));
+    CHECK(
+        std::set<StreamKey>{key, streamKey("id2", "key", "h", "/a/"), streamKey("id", "key2", "h", "/a/"),
+            streamKey("id", "key", "h2", "/a/"), streamKey("id", "key", "h", "/b/"), streamKey("idk", "ey", "h", "/a/")}
+            .size()
+        == 6);
+    CHECK(versionKey(endpoint("a", "v1")) == versionKey(endpoint("b", "v1")));
+    CHECK(versionKey(endpoint("a", "v1")) != versionKey(endpoint("a", "v1.1")));
+    CHECK(versionKey(endpoint("a", "v1")) != versionKey(endpoint("a", "v1", "t")));
+}
+
+TEST_CASE("the first note of a stream holds until its retention ends, and a full table forgets the oldest")
+{
+    StreamOrigins origins;
+    origins.note({1, 10}, at(0));
+    origins.note({1, 11}, at(100));
+    CHECK(origins.find(1, at(RETENTION_MS - 1)) == VersionKey(10));
+    CHECK_FALSE(origins.find(1, at(RETENTION_MS)));
+    CHECK_FALSE(origins.find(2, at(0)));
+    for (StreamKey key = 2; key < 2 + StreamOrigins::MAX_STREAMS; ++key) {
+        origins.note({key, 20}, at(200));
+    }
+    CHECK(origins.size() == StreamOrigins::MAX_STREAMS);
+    CHECK_FALSE(origins.find(1, at(300)));
+    CHECK(origins.find(2, at(300)) == VersionKey(20));
+    origins.expire(at(200 + RETENTION_MS));
+    CHECK(origins.size() == 0);
+}
+
+TEST_CASE("gateways that know the fleet a little differently still ask where an origin is kept")
+{
+    std::mt19937_64 random(7);
+    int found = 0;
+    constexpr int STREAMS = 2000;
+    for (int i = 0; i < STREAMS; ++i) {
+        const StreamKey stream = random();
+        std::vector<std::string> began = gateways(94);
+        std::vector<std::string> asks = began;
+        // Each of them lacks a few gateways that the other one knows.
+        for (auto *view : {&began, &asks}) {
+            std::shuffle(view->begin(), view->end(), random);
+            view->resize(90);
+        }
+        const std::string self = began.front();
+        auto owners = rankedGateways(stream, began, STREAM_OWNERS_ASKED);
+        owners.erase(std::remove(owners.begin(), owners.end(), self), owners.end());
+        owners.resize(STREAM_COPIES);
+        const auto asked = rankedGateways(stream, asks, STREAM_OWNERS_ASKED);
+        found += std::any_of(owners.begin(), owners.end(),
+            [&asked](const auto &name) { return std::find(asked.begin(), asked.end(), name) != asked.end(); });
+    }
+    CHECK(found > STREAMS * 98 / 100);
+}
+
+TEST_CASE("the origins of streams are spread evenly over the gateways")
+{
+    std::mt19937_64 random(9);
+    std::map<std::string, int> counts;
+    for (int i = 0; i < 12000; ++i) {
+        for (const auto &name : rankedGateways(random(), gateways(12), STREAM_COPIES)) {
+            ++counts[name];
+        }
+    }
+    for (const auto &[name, count] : counts) {
+        CHECK(count > 1700);
+        CHECK(count < 2300);
+    }
+    CHECK(rankedGateways(1, {}, 3).empty());
+    CHECK(rankedGateways(1, {"a"}, 3) == std::vector<std::string>{"a"});
+}
+
+TEST_CASE("a service has a sole version only if no other one was listed within the retention")
+{
+    VersionHistory history;
+    const auto sole = [&history](std::int64_t ms, std::int64_t readAgoMs = 0) {
+        return history.soleVersion("s", at(ms - readAgoMs), at(ms));
+    };
+    history.update({endpoint("a", "v1"), endpoint("t", "v9", "t")}, at(0));
+    CHECK_FALSE(sole(RETENTION_MS - 1));
+    CHECK(sole(RETENTION_MS) == versionKey(endpoint("a", "v1")));
+    CHECK_FALSE(sole(RETENTION_MS, 3001));
+    CHECK_FALSE(history.soleVersion("unknown", at(RETENTION_MS), at(RETENTION_MS)));
+    history.update({endpoint("a", "v1"), endpoint("b", "v2")}, at(70000));
+    CHECK_FALSE(sole(70000));
+    history.update({endpoint("b", "v2")}, at(80000));
+    CHECK_FALSE(sole(80000 + RETENTION_MS - 1));
+    CHECK(sole(80000 + RETENTION_MS) == versionKey(endpoint("b", "v2")));
+    // No endpoint is listed, but streams of this version may be taken up once it is back.
+    history.update({}, at(150000));
+    CHECK(sole(150000 + RETENTION_MS - 1) == versionKey(endpoint("b", "v2")));
+    CHECK_FALSE(sole(150000 + RETENTION_MS));
+}
+
+TEST_CASE("messages about streams are the same after encoding and decoding, and cut ones are refused")
+{
+    const std::string note = encodeStreamNote({5, 6});
+    const std::string question = encodeStreamQuestion({7, 8});
+    CHECK(decodeStreamNote(note) == StreamOrigin{5, 6});
+    CHECK(decodeStreamQuestion(question)->id == 7);
+    CHECK(decodeStreamQuestion(question)->stream == 8);
+    for (const auto version : {std::optional<VersionKey>(3), std::optional<VersionKey>()}) {
+        const std::string answer = encodeStreamAnswer({9, 10, version});
+        REQUIRE(decodeStreamAnswer(answer));
+        CHECK(decodeStreamAnswer(answer)->version == version);
+        CHECK_FALSE(decodeStreamAnswer(answer.substr(0, answer.size() - 1)));
+    }
+    CHECK_FALSE(decodeStreamNote(question));
+    CHECK_FALSE(decodeStreamNote(note.substr(0, note.size() - 1)));
+    CHECK_FALSE(decodeStreamNote(""));
+}
--- /dev/null
+++ b/test/error/processes_streams.py
@@ -0,0 +1,161 @@
+#!/usr/bin/env python3
+"""Tests of streams that are taken up again while endpoints of several software versions serve."""
+import json
+import os
+import sys
+import time
+
+from gatewayfleet import Endpoint, Gateway, Store, chunk, configuration, eventually, route, run_tests, stream_head
+
+BUILD = sys.argv[1]
+EVENTS = 4
+ROUTES = [route("draft", "model", "streaming", can_resume=True, max_attempts=2, slo_ms=300, gap_target_ms=300),
+          route("other", "model", "streaming", can_resume=True, max_attempts=2, slo_ms=300, gap_target_ms=300)]
+KEYS = ("key-1", "key-2")
+
+
+class Engine(Endpoint):
+    """Writes events that tell its version; breaks off after as many events as `breaks_after` says."""
+
+    def __init__(self, store, name, version):
+        self.store, self.name, self.version, self.breaks_after = store, name, version, None
+        super().__init__(self.respond)
+        self.register()
+
+    def register(self, state="ready"):
+        self.store.put(f"servers/{self.name}", {**self.registration(state=state), "version": self.version})
+
+    def respond(self, connection, request):
+        first = int(request.headers.get("last-event-id") or 0) + 1
+        connection.sendall(stream_head(request))
+        for event in range(first, EVENTS + 1):
+            if self.breaks_after is not None and event > self.breaks_after:
+                return False
+            connection.sendall(chunk(f"id: {event}\ndata: {self.version}\n\n"))
+            time.sleep(0.01)
+        connection.sendall(b"0\r\n\r\n")
+        return True
+
+
+class Fleet:
+    def __init__(self, versions, gateways=1):
+        self.store = Store()
+        self.store.put("op/config", configuration(1, ROUTES, KEYS))
+        self.engines = [Engine(self.store, f"i-{i}", version) for i, version in enumerate(versions)]
+        self.gateways = [Gateway(BUILD, self.store, f"g{i}") for i in range(gateways)]
+        for gateway in self.gateways:
+            eventually(gateway.is_ready, "readiness")
+        time.sleep(2.0 if gateways > 1 else 0.7)
+
+    def open(self, gateway=0, target="/draft/x", **headers):
+        """Returns (status, versions of the events, whether the stream is whole, headers, attempt id, text)."""
+        attempt = os.urandom(8).hex()
+        status, body, fields = self.gateways[gateway].call("POST", target, json.dumps({"n": attempt}),
+                                                           X_Attempt_Id=attempt, **headers)
+        versions = [line[6:] for line in (body or b"").decode().splitlines() if line.startswith("data: ")]
+        return status, versions, body is not None, fields, attempt, body
+
+    def begin_broken(self, gateway=0):
+        """Begins a stream that is broken off after its first event; returns (attempt id, version)."""
+        connection_breaks(self.engines, 1)
+        port = self.gateways[gateway].callers_port
+        attempt, version = begin_and_leave(port)
+        connection_breaks(self.engines, None)
+        return attempt, version
+
+    def close(self):
+        for gateway in self.gateways:
+            gateway.stop()
+        for engine in self.engines:
+            engine.server.close()
+        self.store.server.close()
+
+
+def connection_breaks(engines, after):
+    for engine in engines:
+        engine.breaks_after = after
+
+
+def begin_and_leave(port):
+    """Begins a stream and leaves after its first event."""
+    import http.client
+    attempt = os.urandom(8).hex()
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=5)
+    connection.request("POST", "/draft/x", attempt, {"Host": "h.example", "X-Attempt-Id": attempt, "X-Deadline-Ms": "3000",
+                                                     "Authorization": "Bearer key-1"})
+    response = connection.getresponse()
+    line = ""
+    while not line.startswith("data: "):
+        line = response.readline().decode()
+    connection.close()
+    return attempt, line[6:].strip()
+
+
+def with_fleet(test, versions=("v1", "v1", "v1.1", "v1.1"), gateways=1):
+    fleet = Fleet(versions, gateways)
+    try:
+        test(fleet)
+    finally:
+        fleet.close()
+
+
+def a_stream_that_an_endpoint_breaks_off_goes_on_at_its_version():
+    def test(fleet):
+        for _ in range(20):
+            connection_breaks(fleet.engines[::2], 2)
+            status, versions, _, _, _, _ = fleet.open()
+            assert status == 200 and len(set(versions)) == 1, versions
+    with_fleet(test)
+
+
+def a_stream_that_is_taken_up_at_any_gateway_goes_on_at_its_version():
+    def test(fleet):
+        for i in range(30):
+            attempt, version = fleet.begin_broken(gateway=i % 3)
+            status, versions, is_whole, _, _, _ = fleet.open((i + 1) % 3, Last_Event_Id="1", Resumes=attempt)
+            assert status == 200 and is_whole and set(versions) == {version}, (status, versions, version)
+    with_fleet(test, gateways=3)
+
+
+def a_stream_goes_on_at_its_version_after_its_gateway_was_killed():
+    def test(fleet):
+        begun = [fleet.begin_broken(gateway=0) for _ in range(20)]
+        fleet.gateways[0].process.kill()
+        for attempt, version in begun:
+            status, versions, is_whole, _, _, _ = fleet.open(1, Last_Event_Id="1", Resumes=attempt)
+            assert status == 200 and is_whole and set(versions) == {version}, (status, versions, version)
+    with_fleet(test, gateways=4)
+
+
+def a_stream_whose_version_is_gone_is_refused_at_once():
+    def test(fleet):
+        attempt, version = fleet.begin_broken()
+        for engine in fleet.engines:
+            if engine.version == version:
+                engine.register(state="draining")
+        time.sleep(0.6)
+        begin = time.monotonic()
+        status, _, _, fields, _, body = fleet.open(Last_Event_Id="1", Resumes=attempt)
+        assert status == 503 and body == b"stream_version_gone\n" and "Retry-After" not in fields, (status, body, fields)
+        assert time.monotonic() - begin < 0.3, "the refusal is held back"
+        status, versions, _, _, _, _ = fleet.open()
+        assert status == 200 and version not in versions, "a new stream begins at the other version"
+    with_fleet(test)
+
+
+def a_stream_of_another_caller_or_route_or_without_its_attempt_is_refused():
+    def test(fleet):
+        attempt, version = fleet.begin_broken()
+        resumption = {"Last_Event_Id": "1", "Resumes": attempt}
+        for headers in ({**resumption, "Authorization": "Bearer key-2"}, {**resumption, "target": "/other/x"},
+                        {"Last_Event_Id": "1"}, {"Last_Event_Id": "1", "Resumes": "f" * 16},
+                        {"Last_Event_Id": "1", "Resumes": "a b;" * 700}, {"Resumes": "unknown"}):
+            status, _, _, fields, _, body = fleet.open(**headers)
+            assert (status, body, "Retry-After" in fields) == (503, b"stream_unknown\n", False), (str(headers)[:99], status, body)
+        status, versions, _, _, _, _ = fleet.open(**resumption)
+        assert status == 200 and set(versions) == {version}, "the attempts of others steer the stream"
+    with_fleet(test)
+
+
+if __name__ == "__main__":
+    sys.exit(run_tests(("Engine", "Fleet", "with_fleet", "connection_breaks", "begin_and_leave"), sys.argv[2:]))
--- a/test/fuzz/parsers.cpp
+++ b/test/fuzz/parsers.cpp
@@ -14,6 +14,7 @@
 #include "gateway/partquarantine.h"
 #include "gateway/peerdigest.h"
 #include "gateway/permitmessages.h"
+#include "gateway/streammessages.h"
 #include "messageheaders.h"
 #include "runjournal.h"
 #include "settings.h"
@@ -184,6 +185,9 @@
         decodePermitQuestion(text, at(0));
         decodePermitAnswer(text, at(0));
         decodeLimitNotice(text, at(0));
+        decodeStreamNote(text);
+        decodeStreamQuestion(text);
+        decodeStreamAnswer(text);
         break;
     case 15:
         splitEvents(text);
--- a/test/soak/streamload.py
+++ b/test/soak/streamload.py
@@ -35,6 +35,7 @@
 # A caller tries so often, at intervals up to this one.
 TRIES, MAX_PAUSE_S = 4, 1.0
 RELEASE_STEP_S = 1.0
+SETTLING_S = 2.0
 
 
 class Engine:
@@ -83,6 +84,8 @@
         for i, gateway in enumerate(self.gateways):
             gateway.name = f"g{i}"
             eventually(gateway.is_ready, f"readiness of {gateway.name}", timeout_s=60)
+        # The gateways learn of each other.
+        time.sleep(SETTLING_S)
 
     def call(self, seed):
         """Begins one stream after the other, each at some gateway, and takes up again those that are broken off."""
@@ -113,13 +116,14 @@
             if response.status != 200:
                 begun.reason = response.read().decode().strip()
                 return False
+            # A caller that has all events but not the end of the stream has nothing to take up.
             while (line := response.readline().decode()):
                 if line.startswith("data: "):
                     version, event = line.split()[1:]
                     stream.add_event(version, int(event), attempt)
                     begun.events += 1
                     if breaks_after is not None and begun.events >= breaks_after:
-                        return False
+                        break
             return stream.events >= EVENTS
         except (OSError, http.client.HTTPException):
             return False
