--- a/test/soak/streamload.py
+++ b/test/soak/streamload.py
@@ -2,7 +2,8 @@
 """Load test of streams that are taken up again, while endpoints of several software versions serve.
 
     python3 test/soak/streamload.py BUILD --seed 1                          12 gateways, two versions, streams broken off
-    python3 test/soak/streamload.py BUILD --seed 1 --gateways 94 --faults   gateways are killed, frozen and stopped meanwhile
+    python3 test/soak/streamload.py BUILD --seed 1 --gateways 94 --faults   gateways are killed, frozen, stopped and cut off
+                                                                            from each other, and datagrams are lost
     python3 test/soak/streamload.py BUILD --seed 1 --releases               versions come and go
 
 Callers take a stream that was broken off up again at any gateway. Judged by what callers got: a stream never holds events
@@ -21,7 +22,9 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "error"))
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
-from gatewayfleet import PORTS_PER_GATEWAY, Gateway, Server, Store, chunk, configuration, eventually, read_request  # noqa: E402
+from crashload import LoadGateway, RelayedStore  # noqa: E402
+from datagramrelay import DatagramRelay  # noqa: E402
+from gatewayfleet import PORTS_PER_GATEWAY, Server, chunk, configuration, eventually, read_request  # noqa: E402
 from gatewayfleet import route, stream_head  # noqa: E402
 from portlease import lease_ports  # noqa: E402
 from streamrecord import Stream, StreamRecord, judge  # noqa: E402
@@ -36,6 +39,7 @@
 TRIES, MAX_PAUSE_S = 4, 1.0
 RELEASE_STEP_S = 1.0
 SETTLING_S = 2.0
+DATAGRAM_LOSS = 0.02
 
 
 class Engine:
@@ -76,13 +80,13 @@
 class Fleet:
     def __init__(self, arguments):
         self.random, self.record, self.arguments = random.Random(arguments.seed), StreamRecord(), arguments
-        self.store, self.stop = Store(), threading.Event()
+        self.relay = DatagramRelay(self.random.random)
+        self.store, self.stop = RelayedStore(self.relay), threading.Event()
         self.store.put("op/config", configuration(1, ROUTES))
         self.engines = [Engine(self, f"{version}-{i}", version) for version in arguments.versions for i in range(2)]
         ports = lease_ports(PORTS_PER_GATEWAY * arguments.gateways)
-        self.gateways = [Gateway(arguments.build, self.store, f"g{i}", ports=ports) for i in range(arguments.gateways)]
-        for i, gateway in enumerate(self.gateways):
-            gateway.name = f"g{i}"
+        self.gateways = [LoadGateway(arguments.build, self.store, f"g{i}", ports) for i in range(arguments.gateways)]
+        for gateway in self.gateways:
             eventually(gateway.is_ready, f"readiness of {gateway.name}", timeout_s=60)
         # The gateways learn of each other.
         time.sleep(SETTLING_S)
@@ -131,7 +135,9 @@
             connection.close()
 
     def inject_faults(self):
-        """Kills, stops and freezes gateways, some of them at the same moment."""
+        """Kills, stops, freezes and cuts off gateways, some of them at the same moment, while datagrams are lost."""
+        self.relay.loss = DATAGRAM_LOSS
+
         def kill(gateway):
             gateway.process.kill()
             gateway.process.wait()
@@ -148,6 +154,11 @@
             time.sleep(2.5)
             gateway.process.send_signal(signal.SIGCONT)
 
+        def cut(gateway):
+            self.relay.cut(gateway.peer_port, True)
+            time.sleep(2.5)
+            self.relay.cut(gateway.peer_port, False)
+
         def disturb(fault, gateway):
             begin = time.monotonic()
             fault(gateway)
@@ -155,7 +166,7 @@
 
         running = []
         while not self.stop.wait(self.random.uniform(1.0, 3.0)):
-            fault = self.random.choice((kill, kill, stop, freeze))
+            fault = self.random.choice((kill, kill, stop, freeze, cut))
             count = self.random.choice((1, 1, max(1, len(self.gateways) // 3)))
             for gateway in self.random.sample(self.gateways, count):
                 if gateway.process.poll() is None and not any(t.name == gateway.name and t.is_alive() for t in running):
@@ -183,6 +194,7 @@
         for engine in self.engines:
             engine.server.close()
         self.store.server.close()
+        self.relay.close()
 
 
 def cpu_seconds(fleet):
@@ -234,7 +246,7 @@
     parser.add_argument("--versions", nargs="+", default=["v1", "v1.1"])
     parser.add_argument("--callers", type=int, default=40)
     parser.add_argument("--rate", type=float, default=40, help="new streams a second")
-    parser.add_argument("--faults", action="store_true", help="kill, stop and freeze gateways meanwhile")
+    parser.add_argument("--faults", action="store_true", help="kill, stop, freeze and cut off gateways meanwhile")
     parser.add_argument("--releases", action="store_true", help="replace versions meanwhile")
     parser.add_argument("--seconds", type=float, default=20)
     violations = run(parser.parse_args())
