Streams whose caller doesn't name their attempt go on if the service had one version alone

Callers that send Last-Event-Id without Resumes, and those whose first gateway and its owners have all gone, were refused by any gateway that had run for less than a minute, though their service had one version alone.

Change: the list has to have shown one version alone for as long as the stream can have lasted, the route's timeout and the lag of the list. A gateway that is too young asks others, which answer from their lists; a known origin counts more, and lists that contradict each other nothing.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -62,7 +62,8 @@
     , m_parts(loop, m_peerLink, m_metrics, [this] { withdrawQuarantinedPrompts(); })
     , m_permits(loop, settings.name, m_peers, m_peerLink, m_metrics)
     , m_statements(m_permits, m_metrics)
-    , m_streams(loop, settings.name, m_peers, m_peerLink, m_metrics)
+    , m_streams(loop, settings.name, m_peers, m_peerLink, m_metrics,
+          [this](ServiceKey service, Duration span) { return soleVersion(service, span); })
     , m_registration(loop, store, settings.store, settings.name, settings.peers,
           [this](const auto &name, const Address &address) { m_peers.addContact(name, address, m_loop.now()); })
     , m_incarnation(static_cast<std::uint64_t>(currentTime().time_since_epoch().count()))
@@ -156,9 +157,10 @@
     m_streams.answerReceived(answer);
 }
 
-std::optional<VersionKey> Gateway::soleVersion(const std::string &service) const
+std::optional<VersionKey> Gateway::soleVersion(ServiceKey service, Duration span) const
 {
-    return m_endpoints.readAt() ? m_versions.soleVersion(service, *m_endpoints.readAt(), m_loop.now()) : std::nullopt;
+    const std::optional<TimePoint> readAt = m_endpoints.readAt();
+    return readAt ? m_versions.soleVersion(service, span, *readAt, m_loop.now()) : std::nullopt;
 }
 
 void Gateway::withdrawQuarantinedPrompts()
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -126,8 +126,6 @@
     {
         return m_streams;
     }
-    /** The version of all endpoints of the service that have been listed recently; nothing if there were several. */
-    std::optional<VersionKey> soleVersion(const std::string &service) const;
     IntakeDelay &intakeDelay()
     {
         return m_intakeDelay;
@@ -197,6 +195,7 @@
     void handleReadiness(const HttpServerConnectionPtr &connection);
     void handleMetrics(const HttpServerConnectionPtr &connection);
     PeerDigest makeDigest();
+    std::optional<VersionKey> soleVersion(ServiceKey service, Duration span) const;
     /** Applies the current list, just read from the store or received from a peer, to the endpoint directory. */
     void applyEndpointList();
     /** Ends the requests whose prompts have a part that was just quarantined. */
--- a/src/gateway/requestflowresumption.cpp
+++ b/src/gateway/requestflowresumption.cpp
@@ -27,17 +27,20 @@
 
 void RequestFlow::resolveVersion()
 {
-    if (m_traits.resumedAttempt.empty()) {
-        versionResolved(std::nullopt, "none");
-        return;
+    StreamQuestion question;
+    if (!m_traits.resumedAttempt.empty()) {
+        question.stream = streamKey(
+            m_traits.resumedAttempt, m_traits.key, requestedHost(m_request.head), requestedPath(m_request.head));
     }
-    const StreamKey stream = streamKey(
-        m_traits.resumedAttempt, m_traits.key, requestedHost(m_request.head), requestedPath(m_request.head));
-    m_gateway.streams().resolve(stream, [reference = m_gateway.reference(this)](std::optional<VersionKey> version) {
-        if (const auto flow = reference.lock()) {
-            flow->versionResolved(version, "origin");
-        }
-    });
+    question.service = serviceKey(m_service);
+    // Callers take a stream up within the time that the route allows for all of it.
+    question.span = m_admitted.route->timeout + VersionHistory::MAX_LIST_AGE;
+    m_gateway.streams().resolve(
+        question, [reference = m_gateway.reference(this)](std::optional<VersionKey> version, const char *source) {
+            if (const auto flow = reference.lock()) {
+                flow->versionResolved(version, source);
+            }
+        });
 }
 
 void RequestFlow::versionResolved(std::optional<VersionKey> version, const char *source)
@@ -45,10 +48,6 @@
     if (m_finished) {
         return;
     }
-    if (!version) {
-        version = m_gateway.soleVersion(m_service);
-        source = version ? "sole_version" : "unknown";
-    }
     m_version = version;
     if (version) {
         const auto &services = m_admitted.route->services;
--- a/src/gateway/streambroker.cpp
+++ b/src/gateway/streambroker.cpp
@@ -24,12 +24,14 @@
 
 }
 
-StreamBroker::StreamBroker(EventLoop &loop, std::string ownName, PeerView &peers, PeerLink &link, Metrics &metrics)
+StreamBroker::StreamBroker(
+    EventLoop &loop, std::string ownName, PeerView &peers, PeerLink &link, Metrics &metrics, SoleVersion soleVersion)
     : m_loop(loop)
     , m_ownName(std::move(ownName))
     , m_peers(peers)
     , m_link(link)
     , m_metrics(metrics)
+    , m_soleVersion(std::move(soleVersion))
     , m_nextId(std::random_device{}())
 {
 }
@@ -76,22 +78,30 @@
     m_metrics.count("cyclamenturn_stream_notes_sent", {}, static_cast<double>(copies));
 }
 
-void StreamBroker::resolve(StreamKey stream, Handler handler)
+void StreamBroker::resolve(const StreamQuestion &question, Handler handler)
 {
-    const std::optional<VersionKey> known = m_origins.find(stream, m_loop.now());
-    if (known || m_pending.size() >= MAX_PENDING) {
-        handler(known);
+    if (const auto known = m_origins.find(question.stream, m_loop.now())) {
+        handler(known, "origin");
+        return;
+    }
+    const auto sole = question.stream == 0 ? m_soleVersion(question.service, question.span) : std::nullopt;
+    if (sole || m_pending.size() >= MAX_PENDING) {
+        handler(sole, sole ? "sole_version" : "unknown");
         return;
     }
     const std::uint32_t id = ++m_nextId;
-    m_pending[id] = {stream, std::move(handler), m_loop.now(), 0, false, {}};
-    ask(id, rankedGateways(stream, gateways(), STREAM_OWNERS_ASKED), OWNERS_TIMEOUT);
+    Pending &pending = m_pending[id];
+    pending.question = question;
+    pending.question.id = id;
+    pending.handler = std::move(handler);
+    pending.startedAt = m_loop.now();
+    ask(id, rankedGateways(question.stream, gateways(), STREAM_OWNERS_ASKED), OWNERS_TIMEOUT);
 }
 
 void StreamBroker::ask(std::uint32_t id, const std::vector<std::string> &names, Duration timeout)
 {
     Pending &pending = m_pending.at(id);
-    const std::string bytes = encodeStreamQuestion({id, pending.stream});
+    const std::string bytes = encodeStreamQuestion(pending.question);
     pending.unanswered = 0;
     for (const std::string &name : names) {
         const auto address = name == m_ownName ? std::nullopt : m_peers.addressOf(name);
@@ -111,24 +121,33 @@
     m_loop.cancel(pending.timer);
     if (!pending.isLastRound) {
         pending.isLastRound = true;
-        ask(id, rankedGateways(pending.stream, gateways(), MAX_ASKED_LAST), LAST_ROUND_TIMEOUT);
+        ask(id, rankedGateways(pending.question.stream, gateways(), MAX_ASKED_LAST), LAST_ROUND_TIMEOUT);
     } else if (!isSettled()) {
         pending.isLastRound = false;
-        ask(id, rankedGateways(pending.stream, gateways(), STREAM_OWNERS_ASKED), OWNERS_TIMEOUT);
+        ask(id, rankedGateways(pending.question.stream, gateways(), STREAM_OWNERS_ASKED), OWNERS_TIMEOUT);
     } else {
-        finish(id, std::nullopt);
+        finishWithoutOrigin(id);
+    }
+}
+
+void StreamBroker::finishWithoutOrigin(std::uint32_t id)
+{
+    const Pending &pending = m_pending.at(id);
+    std::optional<VersionKey> sole = m_soleVersion(pending.question.service, pending.question.span);
+    if (!sole && !pending.isContradictory) {
+        sole = pending.soleVersion;
     }
+    finish(id, sole, sole ? "sole_version" : "unknown");
 }
 
-void StreamBroker::finish(std::uint32_t id, std::optional<VersionKey> version)
+void StreamBroker::finish(std::uint32_t id, std::optional<VersionKey> version, const char *source)
 {
     const auto found = m_pending.find(id);
     const Pending pending = std::move(found->second);
     m_loop.cancel(pending.timer);
     m_pending.erase(found);
-    m_metrics.observe("cyclamenturn_stream_question_seconds", {{"outcome", version ? "known" : "unknown"}},
-        m_loop.now() - pending.startedAt);
-    pending.handler(version);
+    m_metrics.observe("cyclamenturn_stream_question_seconds", {{"source", source}}, m_loop.now() - pending.startedAt);
+    pending.handler(version, source);
 }
 
 void StreamBroker::noteReceived(const StreamOrigin &origin)
@@ -138,22 +157,32 @@
 
 void StreamBroker::questionReceived(const StreamQuestion &question, const Address &from)
 {
-    m_link.send(
-        encodeStreamAnswer({question.id, question.stream, m_origins.find(question.stream, m_loop.now())}), from);
+    StreamAnswer answer{question.id, question.stream, m_origins.find(question.stream, m_loop.now()), false};
+    if (!answer.version) {
+        answer.version = m_soleVersion(question.service, question.span);
+        answer.isSole = true;
+    }
+    m_link.send(encodeStreamAnswer(answer), from);
 }
 
 void StreamBroker::answerReceived(const StreamAnswer &answer)
 {
     const auto found = m_pending.find(answer.id);
-    if (found == m_pending.end() || found->second.stream != answer.stream) {
+    if (found == m_pending.end() || found->second.question.stream != answer.stream) {
         return;
     }
-    if (answer.version) {
+    if (answer.version && !answer.isSole) {
         m_origins.note({answer.stream, *answer.version}, m_loop.now());
-        finish(answer.id, answer.version);
+        finish(answer.id, answer.version, "origin");
         return;
     }
+    // Another gateway may still know the origin, which counts more than what a list has shown.
     Pending &pending = found->second;
+    if (answer.version) {
+        const bool isOther = pending.soleVersion && *pending.soleVersion != *answer.version;
+        pending.isContradictory = pending.isContradictory || isOther;
+        pending.soleVersion = answer.version;
+    }
     if (pending.unanswered > 0 && --pending.unanswered == 0) {
         endRound(answer.id);
     }
--- a/src/gateway/streambroker.h
+++ b/src/gateway/streambroker.h
@@ -22,20 +22,28 @@
 class StreamBroker
 {
 public:
-    /** Receives the version that began the stream, or nothing if no gateway that can be reached knows it. */
-    using Handler = std::function<void(std::optional<VersionKey> version)>;
+    /** Receives the version that began the stream, or nothing if no gateway that can be reached knows it. `source`
+     * tells how it is known. */
+    using Handler = std::function<void(std::optional<VersionKey> version, const char *source)>;
+    /** Returns the sole version of the service within the time, by this gateway's list; see VersionHistory. */
+    using SoleVersion = std::function<std::optional<VersionKey>(ServiceKey service, Duration span)>;
 
     /** Questions that may wait for answers; further ones are answered with nothing. */
     static constexpr std::size_t MAX_PENDING = 4096;
 
-    StreamBroker(EventLoop &loop, std::string ownName, PeerView &peers, PeerLink &link, Metrics &metrics);
+    StreamBroker(EventLoop &loop, std::string ownName, PeerView &peers, PeerLink &link, Metrics &metrics,
+        SoleVersion soleVersion);
     ~StreamBroker();
 
     void start();
     /** Records the origin of a stream and sends it to its owners, before the first event is sent to the caller. */
     void noteBegun(const StreamOrigin &origin);
-    /** Finds out which version began the stream. Calls `handler` once, immediately or from the event loop. */
-    void resolve(StreamKey stream, Handler handler);
+    /**
+     * Finds out which version began the stream: from its origin, or, if nobody knows that, because the service had one
+     * version alone since it can have begun. The id of `question` is ignored. Calls `handler` once, immediately or from
+     * the event loop.
+     */
+    void resolve(const StreamQuestion &question, Handler handler);
 
     void noteReceived(const StreamOrigin &origin);
     void questionReceived(const StreamQuestion &question, const Address &from);
@@ -45,12 +53,16 @@
 private:
     struct Pending
     {
-        StreamKey stream = 0;
+        StreamQuestion question;
         Handler handler;
         TimePoint startedAt;
         /** Number of answers that this round of questions still waits for. */
         std::size_t unanswered = 0;
         bool isLastRound = false;
+        /** What other gateways take for the sole version. */
+        std::optional<VersionKey> soleVersion;
+        /** Whether they don't agree on it. */
+        bool isContradictory = false;
         EventLoop::Timer timer;
     };
 
@@ -59,7 +71,9 @@
     /** Sends a question to these gateways; the round ends with all answers, or after `timeout`. */
     void ask(std::uint32_t id, const std::vector<std::string> &names, Duration timeout);
     void endRound(std::uint32_t id);
-    void finish(std::uint32_t id, std::optional<VersionKey> version);
+    /** Ends the search without an origin. */
+    void finishWithoutOrigin(std::uint32_t id);
+    void finish(std::uint32_t id, std::optional<VersionKey> version, const char *source);
     /** Whether this gateway has run long enough to know the others. */
     bool isSettled() const;
 
@@ -68,6 +82,7 @@
     PeerView &m_peers;
     PeerLink &m_link;
     Metrics &m_metrics;
+    SoleVersion m_soleVersion;
     StreamOrigins m_origins;
     std::vector<std::string> m_gateways;
     std::uint64_t m_membersVersion = 0;
--- a/src/gateway/streammessages.cpp
+++ b/src/gateway/streammessages.cpp
@@ -50,15 +50,17 @@
 
 std::string encodeStreamQuestion(const StreamQuestion &question)
 {
-    return encode(DatagramKind::StreamQuestion,
-        [&question](Poco::BinaryWriter &out) { out << Poco::UInt32(question.id) << Poco::UInt64(question.stream); });
+    return encode(DatagramKind::StreamQuestion, [&question](Poco::BinaryWriter &out) {
+        out << Poco::UInt32(question.id) << Poco::UInt64(question.stream) << Poco::UInt64(question.service)
+            << Poco::UInt32(toMilliseconds(question.span));
+    });
 }
 
 std::string encodeStreamAnswer(const StreamAnswer &answer)
 {
     return encode(DatagramKind::StreamAnswer, [&answer](Poco::BinaryWriter &out) {
         out << Poco::UInt32(answer.id) << Poco::UInt64(answer.stream) << answer.version.has_value()
-            << Poco::UInt64(answer.version.value_or(0));
+            << Poco::UInt64(answer.version.value_or(0)) << answer.isSole;
     });
 }
 
@@ -77,8 +79,10 @@
     return decode<StreamQuestion>(bytes, DatagramKind::StreamQuestion, [](Poco::BinaryReader &in, auto &out) {
         Poco::UInt32 id = 0;
         Poco::UInt64 stream = 0;
-        in >> id >> stream;
-        out = {id, stream};
+        Poco::UInt64 service = 0;
+        Poco::UInt32 span = 0;
+        in >> id >> stream >> service >> span;
+        out = {id, stream, service, milliseconds(span)};
     });
 }
 
@@ -89,8 +93,9 @@
         Poco::UInt64 stream = 0;
         Poco::UInt64 version = 0;
         bool isKnown = false;
-        in >> id >> stream >> isKnown >> version;
-        out = {id, stream, isKnown ? std::optional<VersionKey>(version) : std::nullopt};
+        bool isSole = false;
+        in >> id >> stream >> isKnown >> version >> isSole;
+        out = {id, stream, isKnown ? std::optional<VersionKey>(version) : std::nullopt, isSole};
     });
 }
 
--- a/src/gateway/streammessages.h
+++ b/src/gateway/streammessages.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "streamorigin.h"
+#include "timepoint.h"
 
 #include <optional>
 #include <string>
@@ -11,20 +12,26 @@
 namespace Cyclamenturn
 {
 
-/** Asks for the origin of a stream. */
+/** Asks for the version that began a stream. */
 struct StreamQuestion
 {
     /** Chosen by the asker; the answer repeats it. */
     std::uint32_t id = 0;
+    /** 0 if the caller hasn't named the stream. */
     StreamKey stream = 0;
+    ServiceKey service = 0;
+    /** How long ago the stream may have begun. */
+    Duration span{};
 };
 
 struct StreamAnswer
 {
     std::uint32_t id = 0;
     StreamKey stream = 0;
-    /** Empty if the sender doesn't know the stream. */
+    /** Empty if the sender doesn't know the stream, and there isn't a sole version either. */
     std::optional<VersionKey> version;
+    /** Whether it is the service's sole version in the sender's list rather than the origin of the stream. */
+    bool isSole = false;
 };
 
 /** Serialize a message. */
--- a/src/gateway/streamorigin.cpp
+++ b/src/gateway/streamorigin.cpp
@@ -15,9 +15,14 @@
     return contentHash(std::string(path), contentHash(host, contentHash(callerKey, contentHash(attemptId))));
 }
 
+ServiceKey serviceKey(const std::string &service)
+{
+    return contentHash(service);
+}
+
 VersionKey versionKey(const EndpointRecord &endpoint)
 {
-    return contentHash(endpoint.version, contentHash(endpoint.service));
+    return contentHash(endpoint.version, serviceKey(endpoint.service));
 }
 
 }
--- a/src/gateway/streamorigin.h
+++ b/src/gateway/streamorigin.h
@@ -17,11 +17,14 @@
 /** Identifies a stream by the attempt that brought its first event, together with the caller's key and the request's
  * host and path, so that nobody reaches the stream of another caller or request. */
 using StreamKey = std::uint64_t;
+/** Identifies a service. */
+using ServiceKey = std::uint64_t;
 /** Identifies a software version of a service. */
 using VersionKey = std::uint64_t;
 
 StreamKey streamKey(
     const std::string &attemptId, const std::string &callerKey, const std::string &host, std::string_view path);
+ServiceKey serviceKey(const std::string &service);
 VersionKey versionKey(const EndpointRecord &endpoint);
 
 /** Tells that endpoints of this version began the stream. */
--- a/src/gateway/versionhistory.cpp
+++ b/src/gateway/versionhistory.cpp
@@ -21,21 +21,21 @@
         }
     }
     for (const EndpointRecord &record : list) {
-        m_listings[record.service][versionKey(record)].isListed = true;
+        m_listings[serviceKey(record.service)][versionKey(record)].isListed = true;
     }
 }
 
 std::optional<VersionKey> VersionHistory::soleVersion(
-    const std::string &service, TimePoint listReadAt, TimePoint now) const
+    ServiceKey service, Duration span, TimePoint listReadAt, TimePoint now) const
 {
     const auto found = m_listings.find(service);
-    const bool isComplete = m_since && now - *m_since >= StreamOrigins::RETENTION && now - listReadAt <= MAX_LIST_AGE;
-    if (found == m_listings.end() || !isComplete) {
+    const bool isComplete = m_since && now - *m_since >= span && now - listReadAt <= MAX_LIST_AGE;
+    if (found == m_listings.end() || !isComplete || span > StreamOrigins::RETENTION) {
         return std::nullopt;
     }
     std::optional<VersionKey> out;
     for (const auto &[version, listing] : found->second) {
-        if (!listing.isListed && now - listing.listedUntil >= StreamOrigins::RETENTION) {
+        if (!listing.isListed && now - listing.listedUntil >= span) {
             continue;
         }
         if (out) {
--- a/src/gateway/versionhistory.h
+++ b/src/gateway/versionhistory.h
@@ -8,7 +8,6 @@
 
 #include <map>
 #include <optional>
-#include <string>
 #include <vector>
 
 namespace Cyclamenturn
@@ -23,11 +22,11 @@
     /** Notes the endpoints that are listed from now on. */
     void update(const std::vector<EndpointRecord> &list, TimePoint now);
     /**
-     * The version of all endpoints of the service that were listed within StreamOrigins::RETENTION; nothing if there
-     * were several, or if the list wasn't known for so long. Any stream of the service that can still be taken up began
-     * at this version. `listReadAt` is when the list was last read.
+     * The version of all endpoints of the service that were listed within `span`, which is StreamOrigins::RETENTION at
+     * most; nothing if there were several, or if the list wasn't known for so long. A stream that began within that
+     * time began at this version. `listReadAt` is when the list was last read.
      */
-    std::optional<VersionKey> soleVersion(const std::string &service, TimePoint listReadAt, TimePoint now) const;
+    std::optional<VersionKey> soleVersion(ServiceKey service, Duration span, TimePoint listReadAt, TimePoint now) const;
 
 private:
     struct Listing
@@ -39,7 +38,7 @@
 
     std::optional<TimePoint> m_since;
     /** By service and version. */
-    std::map<std::string, std::map<VersionKey, Listing>> m_listings;
+    std::map<ServiceKey, std::map<VersionKey, Listing>> m_listings;
 };
 
 }
--- a/test/correctness/streamorigins.cpp
+++ b/test/correctness/streamorigins.cpp
@@ -124,13 +124,15 @@
 {
     VersionHistory history;
     const auto sole = [&history](std::int64_t ms, std::int64_t readAgoMs = 0) {
-        return history.soleVersion("s", at(ms - readAgoMs), at(ms));
+        return history.soleVersion(serviceKey("s"), StreamOrigins::RETENTION, at(ms - readAgoMs), at(ms));
     };
     history.update({endpoint("a", "v1"), endpoint("t", "v9", "t")}, at(0));
     CHECK_FALSE(sole(RETENTION_MS - 1));
     CHECK(sole(RETENTION_MS) == versionKey(endpoint("a", "v1")));
     CHECK_FALSE(sole(RETENTION_MS, 3001));
-    CHECK_FALSE(history.soleVersion("unknown", at(RETENTION_MS), at(RETENTION_MS)));
+    CHECK_FALSE(history.soleVersion(serviceKey("?"), milliseconds(1), at(RETENTION_MS), at(RETENTION_MS)));
+    CHECK_FALSE(history.soleVersion(serviceKey("s"), milliseconds(RETENTION_MS + 1), at(99000), at(99000)));
+    CHECK(history.soleVersion(serviceKey("s"), milliseconds(15000), at(15000), at(15000)));
     history.update({endpoint("a", "v1"), endpoint("b", "v2")}, at(70000));
     CHECK_FALSE(sole(70000));
     history.update({endpoint("b", "v2")}, at(80000));
@@ -145,14 +147,17 @@
 TEST_CASE("messages about streams are the same after encoding and decoding, and cut ones are refused")
 {
     const std::string note = encodeStreamNote({5, 6});
-    const std::string question = encodeStreamQuestion({7, 8});
+    const std::string question = encodeStreamQuestion({7, 8, 9, milliseconds(15000)});
     CHECK(decodeStreamNote(note) == StreamOrigin{5, 6});
     CHECK(decodeStreamQuestion(question)->id == 7);
     CHECK(decodeStreamQuestion(question)->stream == 8);
+    CHECK(decodeStreamQuestion(question)->service == 9);
+    CHECK(decodeStreamQuestion(question)->span == milliseconds(15000));
     for (const auto version : {std::optional<VersionKey>(3), std::optional<VersionKey>()}) {
-        const std::string answer = encodeStreamAnswer({9, 10, version});
+        const std::string answer = encodeStreamAnswer({9, 10, version, true});
         REQUIRE(decodeStreamAnswer(answer));
         CHECK(decodeStreamAnswer(answer)->version == version);
+        CHECK(decodeStreamAnswer(answer)->isSole);
         CHECK_FALSE(decodeStreamAnswer(answer.substr(0, answer.size() - 1)));
     }
     CHECK_FALSE(decodeStreamNote(question));
--- a/test/error/processes_streams.py
+++ b/test/error/processes_streams.py
@@ -157,5 +157,24 @@
     with_fleet(test)
 
 
+def a_stream_without_its_attempt_goes_on_if_the_service_had_one_version_alone():
+    def test(fleet):
+        # As long as a stream may last, and the list may lag.
+        time.sleep(ROUTES[0]["timeout_ms"] / 1000 + 3.0)
+        status, versions, is_whole, _, _, _ = fleet.open(Last_Event_Id="1")
+        assert status == 200 and is_whole and versions == ["v1"] * (EVENTS - 1), (status, versions)
+        restarted = fleet.gateways[0]
+        restarted.process.kill()
+        restarted.process.wait()
+        restarted.start()
+        eventually(restarted.is_ready, "readiness")
+        status, versions, is_whole, _, _, _ = fleet.open(Last_Event_Id="1")
+        assert status == 200 and is_whole and versions == ["v1"] * (EVENTS - 1), (status, versions)
+        Engine(fleet.store, "i-9", "v1.1")
+        time.sleep(0.6)
+        assert fleet.open(1, Last_Event_Id="1")[0] == 503
+    with_fleet(test, versions=("v1", "v1"), gateways=3)
+
+
 if __name__ == "__main__":
     sys.exit(run_tests(("Engine", "Fleet", "with_fleet", "connection_breaks", "begin_and_leave"), sys.argv[2:]))
