--- a/src/gateway/requestflow.h
+++ b/src/gateway/requestflow.h
@@ -122,6 +122,8 @@
     void logRejectionInputs(LogEvent &event) const;
     void logOutcome(int status, const char *outcome, Duration took) const;
     Duration timeLeft() const;
+    /** How long the caller waits for the response, from the beginning of its request. */
+    Duration callerTimeout() const;
     /** How long the request may keep this process busy. For streams this is a usual maximum, not the route's
      * timeout. */
     Duration maxDuration() const;
