--- a/src/gateway/storecall.cpp
+++ b/src/gateway/storecall.cpp
@@ -17,6 +17,8 @@
 /** A value in the store has at most one megabyte and a page about as much, which base64 and JSON make larger. */
 constexpr std::size_t MAX_RESPONSE_BYTES = 4194304;
 constexpr std::size_t MAX_HEADER_BYTES = 16384;
+/** Decoders append a few bytes to the body. */
+constexpr std::size_t DECODER_BYTES = 64;
 
 }
 
@@ -68,7 +70,7 @@
     long long length = 0;
     const std::string *text = head.fields.find("Content-Length");
     if (text != nullptr && parseDecimal(*text, length)) {
-        m_response.body.reserve(std::min(static_cast<std::size_t>(length), MAX_RESPONSE_BYTES));
+        m_response.body.reserve(std::min(static_cast<std::size_t>(length), MAX_RESPONSE_BYTES) + DECODER_BYTES);
     }
 }
 
--- a/src/gateway/storelink.cpp
+++ b/src/gateway/storelink.cpp
@@ -327,11 +327,10 @@
 
 void StoreLink::beginDecoding(ConfigurationItem item, const ConfigurationOrigin &origin)
 {
-    m_decoding.emplace();
-    m_decoding->origin = origin;
-    m_decoding->bytes = item.encodedDocument.size();
-    m_decoding->decoder = m_codec.beginConfiguration(std::move(item.encodedDocument), m_lastDecoded);
-    m_decoding->task = m_loop.addTask([this] { return continueDecoding(); });
+    const std::size_t bytes = item.encodedDocument.size();
+    auto decoder = m_codec.beginConfiguration(std::move(item.encodedDocument), m_lastDecoded);
+    const EventLoop::Task task = m_loop.addTask([this] { return continueDecoding(); });
+    m_decoding = Decoding{origin, std::move(decoder), bytes, Duration(0), task};
 }
 
 void StoreLink::stopDecoding()
--- a/src/gateway/storelink.h
+++ b/src/gateway/storelink.h
@@ -173,10 +173,10 @@
     {
         ConfigurationOrigin origin;
         std::unique_ptr<ConfigurationDecoder> decoder;
-        std::size_t bytes = 0;
+        std::size_t bytes;
         /** Time spent by this process. */
-        Duration spent{};
-        EventLoop::Task task = 0;
+        Duration spent;
+        EventLoop::Task task;
     };
     std::optional<Decoding> m_decoding;
     struct Received
--- a/test/correctness/eventloop.cpp
+++ b/test/correctness/eventloop.cpp
@@ -167,3 +167,47 @@
     REQUIRE(ages.size() == 2);
     REQUIRE(ages.back() < milliseconds(100));
 }
+
+TEST_CASE("responses beyond the time for them wait, and closes that come meanwhile are handled before them")
+{
+    // Longer than the time for responses, so that each iteration handles one.
+    constexpr Duration WORK = milliseconds(30);
+    EventLoop loop;
+    std::string order;
+    ReadySocket closing(loop, WorkKind::ClientClose, [&order] { order += 'c'; });
+    std::vector<std::unique_ptr<ReadySocket>> responses;
+    for (int i = 0; i < 3; ++i) {
+        responses.push_back(std::make_unique<ReadySocket>(loop, WorkKind::Response, [&] {
+            order += 'r';
+            spend(WORK);
+        }));
+    }
+    for (int i = 0; i < 3; ++i) {
+        loop.runOnce(milliseconds(100));
+        closing.makeReady();
+    }
+    REQUIRE(order == "crcrcr");
+}
+
+TEST_CASE("a background task is done in steps, between which events are handled")
+{
+    EventLoop loop;
+    std::string order;
+    int steps = 0;
+    ReadySocket response(loop, WorkKind::Response, [&order] { order += 'r'; });
+    loop.addTask([&] {
+        order += 't';
+        spend(milliseconds(12));
+        return ++steps < 3;
+    });
+    const EventLoop::Task cancelled = loop.addTask([&order] {
+        order += 'x';
+        return true;
+    });
+    loop.cancelTask(cancelled);
+    for (int i = 0; i < 4; ++i) {
+        loop.runOnce(milliseconds(1));
+        response.makeReady();
+    }
+    REQUIRE(order == "rtrtrtr");
+}
--- a/test/performance/capacity.cpp
+++ b/test/performance/capacity.cpp
@@ -9,6 +9,9 @@
 #include "gateway/permitbucket.h"
 #include "gateway/permitmessages.h"
 #include "gateway/permitowners.h"
+#include "gateway/streammessages.h"
+#include "gateway/streamorigins.h"
+#include "gateway/streamowners.h"
 #include "rendezvoushash.h"
 #include "wire.h"
 
@@ -269,9 +272,52 @@
               << encodeLimitNotice(question.limit, at(0)).size() << '\n';
 }
 
+/** The origin of a stream: its copies at other gateways, and a resumption elsewhere that asks for it. */
+void measureStreams()
+{
+    std::vector<std::pair<double, double>> noteTimes;
+    std::vector<std::pair<double, double>> questionTimes;
+    for (const int gateways : {12, 94, 370}) {
+        std::vector<std::string> names;
+        for (int i = 0; i < gateways; ++i) {
+            names.push_back("front-" + std::to_string(i));
+        }
+        StreamOrigins origins;
+        StreamKey stream = 0;
+        const auto note = [&] {
+            rankedGateways(++stream, names, STREAM_OWNERS_ASKED);
+            for (std::size_t i = 0; i < STREAM_COPIES; ++i) {
+                origins.note(*decodeStreamNote(encodeStreamNote({stream, 1})), at(0));
+            }
+        };
+        const auto ask = [&] {
+            rankedGateways(stream, names, STREAM_OWNERS_ASKED);
+            for (std::size_t i = 0; i < STREAM_OWNERS_ASKED; ++i) {
+                const auto question = decodeStreamQuestion(encodeStreamQuestion({1, stream, 2, milliseconds(15000)}));
+                const auto version = origins.find(question->stream, at(1));
+                decodeStreamAnswer(encodeStreamAnswer({question->id, question->stream, version, false}));
+            }
+        };
+        noteTimes.emplace_back(gateways, microsecondsOf(note, DECISIONS));
+        questionTimes.emplace_back(gateways, microsecondsOf(ask, DECISIONS));
+    }
+    report("one stream begun, at all gateways together, us by gateways", "us", noteTimes);
+    report("one stream taken up, at all gateways together, us by gateways", "us", questionTimes);
+    const double before = allocatedBytes();
+    StreamOrigins origins;
+    for (StreamKey stream = 1; stream <= StreamOrigins::MAX_STREAMS; ++stream) {
+        origins.note({stream, 1}, at(0));
+    }
+    std::cout << "origins of " << origins.size() << " streams " << (allocatedBytes() - before) / 1024 << " KB; note "
+              << encodeStreamNote({1, 2}).size() << " bytes, question "
+              << encodeStreamQuestion({1, 2, 3, milliseconds(1)}).size() << ", answer "
+              << encodeStreamAnswer({1, 2, 3, false}).size() << '\n';
+}
+
 int main()
 {
     measurePermits();
+    measureStreams();
     std::cout << std::setprecision(4);
     measureConfiguration();
     measureEntry();
--- a/test/performance/store_documents.cpp
+++ b/test/performance/store_documents.cpp
@@ -126,7 +126,8 @@
 {
     std::vector<EndpointRecord> records;
     for (int i = 0; i < endpoints; ++i) {
-        records.push_back({"i-" + std::to_string(i), "asistan", {"10.1.2.3", 80}, "ank-a", "v1", 64, false, 1790000000000});
+        records.push_back(
+            {"i-" + std::to_string(i), "asistan", {"10.1.2.3", 80}, "ank-a", "v1", 64, false, 1790000000000});
     }
     const TimePoint now = timeFromMilliseconds(1000000);
     const TimePoint later = now + EndpointList::CHANGE_RETENTION;
