--- a/src/gateway/endpointstatements.h
+++ b/src/gateway/endpointstatements.h
@@ -3,7 +3,7 @@
  * and how many requests they accept. This is the one place that reads it; whatever sends requests asks it.
  *
  * A statement holds for the incarnation that made it, whatever the list of endpoints says of its state. It is kept for
- * a while after the list no longer has that incarnation, since entries of live endpoints may expire and come back.
+ * a while after the list has dropped that incarnation, since entries of live endpoints may expire and come back.
  */
 #pragma once
 
