Estimates are corrected by the observations of their own priority level

Cause: one correction for all requests. Engines start urgent prompts first, so the long waits that a gateway sees in a burst of less urgent prompts don't apply to the urgent ones, which were refused as overloaded in their place. Change: EstimateCorrection keeps its sums for each of the ten levels that engines are given. Ruled out: the time to the first event itself; the refused requests would have had theirs near their aim.

--- a/src/gateway/admitrequest.h
+++ b/src/gateway/admitrequest.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "configurationfreshness.h"
+#include "engineprioritylevels.h"
 #include "requesttraits.h"
 #include "routingconfiguration.h"
 
@@ -90,9 +91,6 @@
 /** Returns the refusal to answer with: while the configuration is in doubt, what it lacks isn't known to be missing. */
 GatewayRefusal refusalInDoubt(GatewayRefusal refusal, ConfigurationDoubt doubt);
 
-/** Number of priority levels of an engine; level 0 is the most urgent. */
-constexpr int ENGINE_PRIORITY_LEVELS = 10;
-
 /** The priority level to send to an engine: by the request's priority, then by the route's priority, so that an engine
  * that runs out of memory doesn't preempt the more urgent of two routes of one team. */
 int enginePriority(const AdmittedRequest &request);
--- a/src/gateway/estimatecorrection.cpp
+++ b/src/gateway/estimatecorrection.cpp
@@ -20,18 +20,21 @@
 
 }
 
-void EstimateCorrection::addObservation(double expectedMs, double actualMs, TimePoint now)
+void EstimateCorrection::addObservation(int level, double expectedMs, double actualMs, TimePoint now)
 {
-    const double factor = decayFactor(now - m_updatedAt, TIME_CONSTANT);
-    m_expectedMs = m_expectedMs * factor + expectedMs;
-    m_actualMs = m_actualMs * factor + actualMs;
-    m_updatedAt = now;
+    Observations &observations = m_levels.at(static_cast<std::size_t>(level));
+    const double decay = decayFactor(now - observations.updatedAt, TIME_CONSTANT);
+    observations.expectedMs = observations.expectedMs * decay + expectedMs;
+    observations.actualMs = observations.actualMs * decay + actualMs;
+    observations.updatedAt = now;
 }
 
-double EstimateCorrection::factor(TimePoint now) const
+double EstimateCorrection::factor(int level, TimePoint now) const
 {
-    const double decay = decayFactor(now - m_updatedAt, TIME_CONSTANT);
-    return std::clamp((m_actualMs * decay + PRIOR_MS) / (m_expectedMs * decay + PRIOR_MS), MIN_FACTOR, MAX_FACTOR);
+    const Observations &observations = m_levels.at(static_cast<std::size_t>(level));
+    const double decay = decayFactor(now - observations.updatedAt, TIME_CONSTANT);
+    return std::clamp((observations.actualMs * decay + PRIOR_MS) / (observations.expectedMs * decay + PRIOR_MS),
+        MIN_FACTOR, MAX_FACTOR);
 }
 
 }
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -225,7 +225,8 @@
         const double actualMs = static_cast<double>((now - m_sentAt).count()) / 1000.0;
         statistics.noteSlowness(actualMs / m_placement.expectedMs * statistics.slowness());
         if (m_traits.prompt && m_placement.isLongPrompt) {
-            m_gateway.estimateCorrection().addObservation(m_placement.expectedMs, actualMs, now);
+            m_gateway.estimateCorrection().addObservation(
+                enginePriority(m_admitted), m_placement.expectedMs, actualMs, now);
         }
     }
 }
--- a/src/gateway/requestflowlog.cpp
+++ b/src/gateway/requestflowlog.cpp
@@ -60,7 +60,8 @@
             .field("first_event_ms", toMilliseconds(m_callerResponse.timeToFirstEvent()))
             .field("longest_pause_ms", toMilliseconds(m_callerResponse.longestEventGap()))
             .field("expected_ms", static_cast<long long>(m_placement.expectedMs))
-            .field("estimate_factor_pct", static_cast<long long>(100 * m_gateway.estimateCorrection().factor(now)))
+            .field("estimate_factor_pct",
+                static_cast<long long>(100 * m_gateway.estimateCorrection().factor(enginePriority(m_admitted), now)))
             .field("prefill_tokens", m_placement.prefillTokens)
             .field("permits_asked", m_permitsAsked)
             .field("permit_wait_ms", toMilliseconds(m_permitWait))
--- a/src/gateway/requestflowsending.cpp
+++ b/src/gateway/requestflowsending.cpp
@@ -235,8 +235,8 @@
         return false;
     }
     OverloadInputs inputs;
-    inputs.expectedFirstEvent = Duration(static_cast<std::int64_t>(
-        placement.expectedMs * m_gateway.estimateCorrection().factor(m_gateway.loop().now()) * 1000));
+    const double factor = m_gateway.estimateCorrection().factor(enginePriority(m_admitted), m_gateway.loop().now());
+    inputs.expectedFirstEvent = Duration(static_cast<std::int64_t>(placement.expectedMs * factor * 1000));
     inputs.objective = m_admitted.route->objective;
     inputs.timeLeft = timeLeft();
     inputs.initialTimeLeft = m_admitted.route->timeout;
--- a/test/correctness/gateway_decisions.cpp
+++ b/test/correctness/gateway_decisions.cpp
@@ -240,15 +240,17 @@
     CHECK(splitter.rest() == "id: 3\n");
 }
 
-TEST_CASE("the correction follows observed times and returns to 1")
+TEST_CASE("the correction follows observed times of its level and returns to 1")
 {
     EstimateCorrection correction;
-    CHECK(correction.factor(START) == Approx(1));
+    CHECK(correction.factor(5, START) == Approx(1));
     for (int i = 0; i < 20; ++i) {
-        correction.addObservation(300, 900, START);
+        correction.addObservation(5, 300, 900, START);
     }
-    CHECK(correction.factor(START) > 2.5);
-    CHECK(correction.factor(START + milliseconds(15000)) == Approx(1).margin(0.1));
+    CHECK(correction.factor(5, START) > 2.5);
+    CHECK(correction.factor(5, START + milliseconds(15000)) == Approx(1).margin(0.1));
+    // Engines start more urgent requests first, so these don't wait as long.
+    CHECK(correction.factor(4, START) == Approx(1));
 }
 
 TEST_CASE("routine log lines are limited and leave capacity for failure lines")
--- a/test/correctness/overload_fleet.cpp
+++ b/test/correctness/overload_fleet.cpp
@@ -121,8 +121,8 @@
     OverloadDecision decide(const Request &request, double draw, TimePoint now)
     {
         OverloadInputs inputs;
-        inputs.expectedFirstEvent
-            = Duration(static_cast<std::int64_t>(request.placement.expectedMs * m_correction.factor(now) * 1000));
+        inputs.expectedFirstEvent = Duration(static_cast<std::int64_t>(
+            request.placement.expectedMs * m_correction.factor(request.kind->level, now) * 1000));
         inputs.objective = request.kind->objective;
         inputs.timeLeft = request.kind->timeout - (now - request.arrivedAt);
         inputs.initialTimeLeft = request.kind->timeout;
@@ -138,8 +138,8 @@
     {
         statistics[endpoint].noteFirstEvent(request.placement.prefillTokens);
         statistics[endpoint].noteEnded();
-        m_correction.addObservation(
-            request.placement.expectedMs, static_cast<double>((now - request.sentAt).count()) / 1000, now);
+        m_correction.addObservation(request.kind->level, request.placement.expectedMs,
+            static_cast<double>((now - request.sentAt).count()) / 1000, now);
     }
     PeerDigest makeDigest(TimePoint now)
     {
