--- a/src/gateway/peerlink.cpp
+++ b/src/gateway/peerlink.cpp
@@ -142,21 +142,18 @@
     for (const auto &name : m_view.expire(m_loop.now())) {
         LogEvent("peer_silent").field("peer", name);
     }
-    const auto addresses = m_view.addresses();
-    const std::size_t count = std::min(addresses.size(), DIGESTS_PER_ROUND);
-    if (count > 0) {
+    const std::vector<Address> addresses = m_rounds.next(m_view.addresses());
+    if (!addresses.empty()) {
         const std::string bytes = encodeDigest(m_makeDigest(), m_loop.now());
         const std::string evidence = m_makeEvidence ? m_makeEvidence() : std::string();
-        for (std::size_t i = 0; i < count; ++i) {
-            const Address &address = addresses[(m_nextAddress + i) % addresses.size()];
+        for (const Address &address : addresses) {
             send(bytes, address);
             if (!evidence.empty()) {
                 send(evidence, address);
             }
         }
-        m_nextAddress = (m_nextAddress + count) % addresses.size();
     }
-    m_timer = m_loop.callAfter(ROUND_INTERVAL, [this] { sendRound(); });
+    m_timer = m_loop.callAfter(DigestRounds::INTERVAL, [this] { sendRound(); });
 }
 
 }
--- a/src/gateway/peerlink.h
+++ b/src/gateway/peerlink.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "digestrounds.h"
 #include "endpointlist.h"
 #include "partevidence.h"
 #include "peerview.h"
@@ -38,12 +39,6 @@
 class PeerLink : private SocketHandler
 {
 public:
-    /** Time between two rounds of digests. Short, since the load changes within a few hundred milliseconds when a burst
-     * begins. */
-    static constexpr Duration ROUND_INTERVAL = milliseconds(300);
-    /** Maximum number of digests sent in a round, so that the traffic of one gateway doesn't grow with the fleet. */
-    static constexpr std::size_t DIGESTS_PER_ROUND = 6;
-
     /** `makeDigest` returns the digest of this process's current state. */
     PeerLink(EventLoop &loop, const Address &ownAddress, PeerView &view, std::function<PeerDigest()> makeDigest,
         PeerLinkListener &listener);
@@ -73,8 +68,7 @@
     std::function<PeerDigest()> m_makeDigest;
     std::function<std::string()> m_makeEvidence;
     PeerLinkListener &m_listener;
-    /** Index of the address at which the next round starts. */
-    std::size_t m_nextAddress = 0;
+    DigestRounds m_rounds;
     EventLoop::Timer m_timer;
 };
 
--- a/src/gateway/peerview.cpp
+++ b/src/gateway/peerview.cpp
@@ -111,6 +111,15 @@
     return contact == m_contacts.end() ? std::nullopt : std::optional<Address>(contact->first);
 }
 
+std::vector<Duration> PeerView::heartbeatAges(TimePoint now) const
+{
+    std::vector<Duration> out;
+    for (const auto &[name, peer] : m_peers) {
+        out.push_back(now - peer.receivedAt);
+    }
+    return out;
+}
+
 bool PeerView::isLive(const Address &address) const
 {
     return std::any_of(
--- a/src/gateway/peerview.h
+++ b/src/gateway/peerview.h
@@ -60,6 +60,13 @@
     {
         return m_contacts.count(address) != 0 || isLive(address);
     }
+    /** Whether a live peer has that name. */
+    bool isLiveName(const std::string &name) const
+    {
+        return m_peers.count(name) != 0;
+    }
+    /** The time since each live peer was last known to live. */
+    std::vector<Duration> heartbeatAges(TimePoint now) const;
     /** Whether a live peer has that address. */
     bool isLive(const Address &address) const;
     /** The highest version of the configuration that a live peer applies; 0 without peers. */
