Digests pass on heartbeats, so that no living gateway counts as silent in a large fleet

Cause: whether a peer lives was known from its own digest alone, which comes each 5.1 s at 103 gateways; and gateways that start together sent in the same order, so that each heard all others within one round and then nobody. Change: each digest passes on heartbeats: every other one a roll of all gateways (one byte each, readable by who knows the same gateways), all of them some by name, more while gateways come and go. Only a newer number counts, so that a dead gateway isn't kept alive by peers that repeat each other. Each process sends in turns of its own random order, and newcomers are introduced. A digest never exceeds a datagram. Coming and going is logged for 8 peers a round.

--- a/src/gateway/digestrounds.cpp
+++ b/src/gateway/digestrounds.cpp
@@ -1,21 +1,42 @@
 /** \file
- * Rotation through the gateways to which digests are sent.
+ * Turns through the gateways to which digests are sent.
  */
 #include "digestrounds.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace Cyclamenturn
 {
 
+DigestRounds::DigestRounds(std::uint64_t seed)
+    : m_random(seed)
+{
+}
+
 std::vector<Address> DigestRounds::next(const std::vector<Address> &addresses)
 {
-    std::vector<Address> out;
+    std::vector<Address> added;
+    std::set_difference(addresses.begin(), addresses.end(), m_known.begin(), m_known.end(), std::back_inserter(added));
+    for (const Address &address : added) {
+        const auto position = static_cast<std::ptrdiff_t>(m_random() % (m_turn.size() + 1));
+        m_turn.insert(m_turn.begin() + position, address);
+    }
+    m_known = addresses;
     const std::size_t count = std::min(addresses.size(), DIGESTS_PER_ROUND);
-    for (std::size_t i = 0; i < count; ++i) {
-        out.push_back(addresses[(m_next + i) % addresses.size()]);
+    std::vector<Address> out;
+    while (out.size() < count) {
+        if (m_turn.empty()) {
+            m_turn = addresses;
+            std::shuffle(m_turn.begin(), m_turn.end(), m_random);
+        }
+        const Address address = m_turn.back();
+        m_turn.pop_back();
+        const bool isKnown = std::binary_search(addresses.begin(), addresses.end(), address);
+        if (isKnown && std::find(out.begin(), out.end(), address) == out.end()) {
+            out.push_back(address);
+        }
     }
-    m_next = count > 0 ? (m_next + count) % addresses.size() : 0;
     return out;
 }
 
--- a/src/gateway/digestrounds.h
+++ b/src/gateway/digestrounds.h
@@ -7,11 +7,17 @@
 #include "timepoint.h"
 
 #include <cstddef>
+#include <cstdint>
+#include <random>
 #include <vector>
 
 namespace Cyclamenturn
 {
 
+/**
+ * Sends to all gateways in turn, in an order of its own for each process and each turn. With a common order, gateways
+ * that start together send to the same few at the same time, and each receives nothing until the turn is over.
+ */
 class DigestRounds
 {
 public:
@@ -20,12 +26,17 @@
     /** Maximum number of digests sent in a round, so that the traffic of one gateway doesn't grow with the fleet. */
     static constexpr std::size_t DIGESTS_PER_ROUND = 6;
 
-    /** Returns the next addresses, in rotation. */
+    explicit DigestRounds(std::uint64_t seed);
+
+    /** Returns the addresses of the next round, out of those given, which are sorted. */
     std::vector<Address> next(const std::vector<Address> &addresses);
 
 private:
-    /** Index of the address at which the next round starts. */
-    std::size_t m_next = 0;
+    std::mt19937_64 m_random;
+    /** The rest of the current turn, from the back. A gateway that becomes known during the turn is in it, too. */
+    std::vector<Address> m_turn;
+    /** The addresses at the last round. */
+    std::vector<Address> m_known;
 };
 
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -66,7 +66,7 @@
           [this](ServiceKey service, Duration span) { return soleVersion(service, span); })
     , m_registration(loop, store, settings.store, settings.name, settings.peers,
           [this](const auto &name, const Address &address) { m_peers.addContact(name, address, m_loop.now()); })
-    , m_incarnation(static_cast<std::uint64_t>(currentTime().time_since_epoch().count()))
+    , m_startTimeOfDay(currentTime())
 {
     m_peerLink.setEvidenceSource([this] { return m_parts.roundMessage(); });
     m_callerServer.setRejectionHandler([this](const RejectedRequest &request) { return handleRejection(request); });
@@ -99,8 +99,14 @@
 {
     PeerDigest out;
     out.name = m_settings.name;
-    out.incarnation = m_incarnation;
-    out.sequence = ++m_digestSequence;
+    out.incarnation = static_cast<std::uint64_t>(m_startTimeOfDay.time_since_epoch().count());
+    m_digestSequence = nextDigestSequence(m_digestSequence, m_startTimeOfDay + (m_loop.now() - m_startedAt));
+    out.sequence = m_digestSequence;
+    out.heartbeats = m_peers.heartbeats(m_loop.now(), randomFraction());
+    if (isRollDue(out.sequence)) {
+        out.roll = m_peers.roll(HeartbeatNumber(out.sequence));
+    }
+    out.introductions = m_peers.introductions(m_loop.now());
     out.configurationRevision = m_store.latestConfigurationRevision();
     out.configurationVersion = m_store.configurationSelection().version();
     out.configurationConfirmedAt = m_store.configurationConfirmedAt();
@@ -390,6 +396,17 @@
     }
 }
 
+void Gateway::reportPeers()
+{
+    constexpr std::size_t SAMPLES = 4;
+    m_metrics.set("cyclamenturn_live_peers", {}, static_cast<double>(m_peers.livePeerCount()));
+    const std::vector<Duration> ages = m_peers.heartbeatAges(m_loop.now());
+    for (std::size_t i = 0; i < std::min(SAMPLES, ages.size()); ++i) {
+        const auto sample = static_cast<std::size_t>(randomFraction() * static_cast<double>(ages.size()));
+        m_metrics.observe("cyclamenturn_peer_heartbeat_age_seconds", {}, ages[sample]);
+    }
+}
+
 void Gateway::housekeep()
 {
     const TimePoint now = m_loop.now();
@@ -399,6 +416,7 @@
     m_permits.expire();
     m_statements.expire(m_endpoints, now);
     m_streams.expire();
+    reportPeers();
     m_metrics.set("cyclamenturn_response_memory_bytes", {}, static_cast<double>(m_responseMemory.used()));
     m_metrics.set("cyclamenturn_store_calls", {}, static_cast<double>(m_store.calls()));
     m_metrics.set("cyclamenturn_endpoint_connections_opened", {}, static_cast<double>(m_pool.opened()));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -204,6 +204,8 @@
     void logChange(const char *event, const EndpointRecord &record) const;
     /** Counts what kept the event loop busy, and logs when its events waited noticeably long. */
     void reportLoopLoad();
+    /** Measures how recent the heartbeats of the other gateways are, by a few of them. */
+    void reportPeers();
     void housekeep();
     void continueStop();
     void noteCaughtUp();
@@ -250,7 +252,8 @@
     StreamBroker m_streams;
     VersionHistory m_versions;
     Registration m_registration;
-    std::uint64_t m_incarnation;
+    /** By the VM's time of day. */
+    TimePoint m_startTimeOfDay;
     std::uint32_t m_digestSequence = 0;
     /** The largest number of gateways seen live at the same time. */
     mutable int m_maxGateways = 1;
--- a/src/gateway/peerdigest.cpp
+++ b/src/gateway/peerdigest.cpp
@@ -3,6 +3,7 @@
  */
 #include "peerdigest.h"
 
+#include "digestrounds.h"
 #include "peerdatagram.h"
 #include "rendezvoushash.h"
 
@@ -17,15 +18,93 @@
 
 /** Limit that keeps a digest well within one packet. */
 constexpr std::size_t MAX_ENDPOINT_REQUESTS = 96;
+/** In a roll, marks a gateway that lives. */
+constexpr std::uint8_t LIVE = 0x80;
+
+void writeHeartbeats(Poco::BinaryWriter &out, const PeerDigest &digest)
+{
+    const std::size_t count = std::min(digest.heartbeats.size(), PeerDigest::MAX_HEARTBEATS);
+    out << static_cast<Poco::UInt8>(count);
+    for (std::size_t i = 0; i < count; ++i) {
+        const Heartbeat &heartbeat = digest.heartbeats[i];
+        out << Poco::UInt32(heartbeat.gateway) << static_cast<Poco::UInt8>(heartbeat.number.value());
+    }
+    const std::size_t rollSize = std::min(digest.roll.numbers.size(), HeartbeatRoll::MAX_GATEWAYS);
+    out << Poco::UInt32(digest.roll.names) << Poco::UInt16(rollSize);
+    for (std::size_t i = 0; i < rollSize; ++i) {
+        const auto &number = digest.roll.numbers[i];
+        out << static_cast<Poco::UInt8>(number ? LIVE | number->value() : 0);
+    }
+    const std::size_t introductionCount = std::min(digest.introductions.size(), PeerDigest::MAX_INTRODUCTIONS);
+    out << static_cast<Poco::UInt8>(introductionCount);
+    for (std::size_t i = 0; i < introductionCount; ++i) {
+        out << digest.introductions[i].name << toString(digest.introductions[i].address);
+    }
+}
+
+bool readHeartbeats(Poco::BinaryReader &in, PeerDigest &digest)
+{
+    Poco::UInt8 count = 0;
+    in >> count;
+    for (int i = 0; i < count && in.good(); ++i) {
+        Poco::UInt32 gateway = 0;
+        Poco::UInt8 number = 0;
+        in >> gateway >> number;
+        digest.heartbeats.push_back({gateway, HeartbeatNumber(number)});
+    }
+    Poco::UInt32 names = 0;
+    Poco::UInt16 rollSize = 0;
+    in >> names >> rollSize;
+    if (!in.good() || rollSize > HeartbeatRoll::MAX_GATEWAYS) {
+        return false;
+    }
+    std::string numbers;
+    in.readRaw(rollSize, numbers);
+    digest.roll.names = names;
+    for (const char number : numbers) {
+        const auto bits = static_cast<std::uint8_t>(number);
+        digest.roll.numbers.push_back((bits & LIVE) != 0 ? std::optional(HeartbeatNumber(bits)) : std::nullopt);
+    }
+    count = 0;
+    in >> count;
+    for (int i = 0; i < count && in.good(); ++i) {
+        GatewayIntroduction introduction;
+        std::string address;
+        if (!readText(in, introduction.name) || !readText(in, address)) {
+            return false;
+        }
+        try {
+            introduction.address = addressFromString(address);
+        } catch (const std::runtime_error &) {
+            return false;
+        }
+        digest.introductions.push_back(std::move(introduction));
+    }
+    return in.good();
+}
 
 }
 
+std::uint32_t nextDigestSequence(std::uint32_t previous, TimePoint running)
+{
+    const auto byTime = static_cast<std::uint32_t>(running.time_since_epoch() / DigestRounds::INTERVAL);
+    return std::max(previous + 1, byTime);
+}
+
+std::uint32_t gatewayHash(const std::string &name)
+{
+    return static_cast<std::uint32_t>(contentHash(name));
+}
+
 std::uint32_t endpointHash(const std::string &endpointId)
 {
     return static_cast<std::uint32_t>(contentHash(endpointId));
 }
 
-std::string encodeDigest(const PeerDigest &digest, TimePoint now)
+namespace
+{
+
+std::string encodeWhole(const PeerDigest &digest, TimePoint now)
 {
     std::ostringstream stream;
     Poco::BinaryWriter out(stream, Poco::BinaryWriter::NETWORK_BYTE_ORDER);
@@ -60,10 +139,35 @@
         const EndpointSighting &sighting = digest.sightings[i];
         out << ageMs(sighting.sentAt, now) << sighting.endpoint;
     }
+    writeHeartbeats(out, digest);
     out.flush();
     return stream.str();
 }
 
+template<typename T>
+void halve(std::vector<T> &items)
+{
+    items.resize(items.size() / 2);
+}
+
+}
+
+std::string encodeDigest(const PeerDigest &digest, TimePoint now)
+{
+    std::string bytes = encodeWhole(digest, now);
+    PeerDigest shortened = digest;
+    while (bytes.size() > MAX_DATAGRAM_BYTES) {
+        // Signs of life and the configuration stay; a digest that isn't received makes its sender look silent.
+        halve(shortened.endpointRequests);
+        halve(shortened.sightings);
+        halve(shortened.clearedSuspects);
+        halve(shortened.crashes);
+        shortened.introductions.clear();
+        bytes = encodeWhole(shortened, now);
+    }
+    return bytes;
+}
+
 std::optional<PeerDigest> decodeDigest(const std::string &bytes, TimePoint now)
 {
     std::istringstream stream(bytes);
@@ -135,7 +239,7 @@
         }
         out.sightings.push_back({endpoint, now - milliseconds(age)});
     }
-    if (!in.good() || out.name.empty()) {
+    if (!readHeartbeats(in, out) || out.name.empty()) {
         return std::nullopt;
     }
     return out;
--- a/src/gateway/peerlink.cpp
+++ b/src/gateway/peerlink.cpp
@@ -20,6 +20,8 @@
 /** Limits on the datagrams read per event-loop iteration, so that a flood of them doesn't delay callers. */
 constexpr int MAX_READS_PER_ITERATION = 32;
 constexpr Duration MAX_READ_TIME = milliseconds(10);
+/** Peers whose coming or going is logged in a round. When a large fleet starts, all are found at once. */
+constexpr int MAX_CHANGES_LOGGED = 8;
 
 }
 
@@ -73,9 +75,8 @@
     }
     const TimePoint now = m_loop.now();
     if (const auto digest = decodeDigest(bytes, now)) {
-        if (m_view.apply(*digest, sender, now)) {
-            LogEvent("peer_found").field("peer", digest->name).field("address", toString(sender));
-        }
+        m_view.apply(*digest, sender, now);
+        logFound();
         m_listener.digestReceived(*digest);
     } else if (const auto update = decodeListUpdate(bytes)) {
         if (m_view.isLive(sender)) {
@@ -137,10 +138,36 @@
     }
 }
 
+bool PeerLink::isNextChangeLogged()
+{
+    return ++m_changes <= MAX_CHANGES_LOGGED;
+}
+
+void PeerLink::logFound()
+{
+    for (const auto &name : m_view.takeFound()) {
+        const auto address = m_view.addressOf(name);
+        if (address && isNextChangeLogged()) {
+            LogEvent("peer_found")
+                .field("peer", name)
+                .field("address", toString(*address))
+                .field("live", static_cast<long long>(m_view.livePeerCount()));
+        }
+    }
+}
+
 void PeerLink::sendRound()
 {
+    if (m_changes > MAX_CHANGES_LOGGED) {
+        LogEvent("peer_changes_not_logged")
+            .field("count", static_cast<long long>(m_changes - MAX_CHANGES_LOGGED))
+            .field("live", static_cast<long long>(m_view.livePeerCount()));
+    }
+    m_changes = 0;
     for (const auto &name : m_view.expire(m_loop.now())) {
-        LogEvent("peer_silent").field("peer", name);
+        if (isNextChangeLogged()) {
+            LogEvent("peer_silent").field("peer", name).field("live", static_cast<long long>(m_view.livePeerCount()));
+        }
     }
     const std::vector<Address> addresses = m_rounds.next(m_view.addresses());
     if (!addresses.empty()) {
--- a/src/gateway/peerlink.h
+++ b/src/gateway/peerlink.h
@@ -60,6 +60,9 @@
     /** Handles a message about a stream. Returns whether it was one. */
     bool handleStreamMessage(const std::string &bytes, const Address &sender);
     void sendRound();
+    /** Counts a change of the live peers. Returns whether it is to be logged. */
+    bool isNextChangeLogged();
+    void logFound();
 
     EventLoop &m_loop;
     Poco::Net::DatagramSocket m_socket;
@@ -68,7 +71,9 @@
     std::function<PeerDigest()> m_makeDigest;
     std::function<std::string()> m_makeEvidence;
     PeerLinkListener &m_listener;
-    DigestRounds m_rounds;
+    /** Changes of the live peers since the last round. */
+    int m_changes = 0;
+    DigestRounds m_rounds{std::random_device{}()};
     EventLoop::Timer m_timer;
 };
 
--- a/src/gateway/peerview.h
+++ b/src/gateway/peerview.h
@@ -1,5 +1,10 @@
 /** \file
- * State of the other gateways as last received in their digests. A gateway without a recent digest is removed.
+ * State of the other gateways as last received in their digests, and which of them live.
+ *
+ * A gateway sends its digest to a few others at a time, so in a large fleet a peer's digest comes rarely. Digests also
+ * pass on heartbeats: the latest sequence known of other gateways, and its age. Only a newer sequence counts, so that a
+ * dead gateway can't be kept alive by peers that pass on the same heartbeat in a circle. A gateway without a recent
+ * heartbeat is removed.
  */
 #pragma once
 
@@ -26,19 +31,31 @@
 class PeerView
 {
 public:
-    /** A peer is removed after this time without a digest, which tolerates the loss of several digests in a row. */
-    static constexpr Duration PEER_TIMEOUT = milliseconds(3500);
+    /** A peer is removed after this time without a newer sequence, which tolerates the loss of several datagrams. */
+    static constexpr Duration PEER_TIMEOUT = milliseconds(2700);
     /** How long digests are sent to an address from which none is received. */
     static constexpr Duration CONTACT_RETENTION = milliseconds(30000);
+    /** How long a gateway is introduced to others after it was found, and how long more heartbeats are passed on by
+     * name after the known gateways changed, until all know the same ones. */
+    static constexpr Duration SETTLING_TIME = milliseconds(10000);
 
     explicit PeerView(std::string ownName);
 
-    /** Applies a digest unless a newer one of the peer was received before. Returns whether the peer is new. */
+    /** Applies a digest unless a newer one of the peer was received before, and the heartbeats in it. Returns whether
+     * the peer is new. */
     bool apply(const PeerDigest &digest, const Address &from, TimePoint now);
-    /** Adds a gateway to which digests are sent for CONTACT_RETENTION, or longer once it sends digests itself. */
+    /** Adds a gateway to which digests are sent for CONTACT_RETENTION, or longer once it is known to live. */
     void addContact(const std::string &name, const Address &address, TimePoint now);
-    /** Removes peers that sent no digest for PEER_TIMEOUT and returns their names. */
+    /** Removes peers of which nothing was heard for PEER_TIMEOUT and returns their names. */
     std::vector<std::string> expire(TimePoint now);
+    /** The heartbeats to pass on in a digest. `draw` is a random number, uniform in [0, 1). */
+    std::vector<Heartbeat> heartbeats(TimePoint now, double draw) const;
+    /** The heartbeats of all gateways, this one with the number given. */
+    HeartbeatRoll roll(HeartbeatNumber own);
+    /** The gateways to introduce in a digest: the last ones found. */
+    std::vector<GatewayIntroduction> introductions(TimePoint now) const;
+    /** Returns the names of the peers that were found since the last call. */
+    std::vector<std::string> takeFound();
 
     std::size_t livePeerCount() const
     {
@@ -77,24 +94,44 @@
 private:
     struct Peer
     {
+        /** Without content until the first digest of the peer itself is received. */
         PeerDigest digest;
         Address address;
-        TimePoint receivedAt;
+        /** The latest one known, from a digest of the peer or passed on by others. */
+        HeartbeatNumber heartbeat;
+        /** When that heartbeat became known. */
+        TimePoint heardAt;
+        TimePoint foundAt;
+    };
+    struct Contact
+    {
+        std::string name;
+        TimePoint since;
+        /** The latest one known when the peer was removed; it doesn't show that the gateway lives. */
+        std::optional<HeartbeatNumber> lastHeartbeat;
     };
     void addRequests(const PeerDigest &digest, int sign);
+    void applyRoll(const HeartbeatRoll &roll, TimePoint now);
+    void noteHeartbeat(const std::string &name, HeartbeatNumber number, TimePoint now);
+    void noteMembersChanged(TimePoint now);
+    /** Updates m_rollNames and m_rollHash. */
+    void refreshRoll();
 
     std::string m_ownName;
     std::map<std::string, Peer> m_peers;
     /** Sums over the digests of m_peers. */
     std::unordered_map<std::uint32_t, PeerLoad> m_loads;
-    struct Contact
-    {
-        std::string name;
-        TimePoint since;
-    };
     /** Addresses without a live peer to which digests are sent. */
     std::map<Address, Contact> m_contacts;
+    /** The names of peers and contacts by their hashes. */
+    std::unordered_map<std::uint32_t, std::string> m_names;
+    std::vector<std::string> m_found;
     std::uint64_t m_membersVersion = 1;
+    TimePoint m_membersChangedAt;
+    /** The names of all gateways in order, and their hash, as of m_rollVersion. */
+    std::vector<std::string> m_rollNames;
+    std::uint32_t m_rollHash = 0;
+    std::uint64_t m_rollVersion = 0;
 };
 
 }
