A process that starts sends its first turn of digests at twice the rate

Change: twelve digests a round in the first turn, since nobody knows a process that has just started.

--- a/src/gateway/digestrounds.cpp
+++ b/src/gateway/digestrounds.cpp
@@ -23,10 +23,12 @@
         m_turn.insert(m_turn.begin() + position, address);
     }
     m_known = addresses;
-    const std::size_t count = std::min(addresses.size(), DIGESTS_PER_ROUND);
+    const std::size_t most = m_isFirstTurn ? FIRST_TURN_PER_ROUND : DIGESTS_PER_ROUND;
+    const std::size_t count = std::min(addresses.size(), most);
     std::vector<Address> out;
     while (out.size() < count) {
         if (m_turn.empty()) {
+            m_isFirstTurn = false;
             m_turn = addresses;
             std::shuffle(m_turn.begin(), m_turn.end(), m_random);
         }
--- a/src/gateway/digestrounds.h
+++ b/src/gateway/digestrounds.h
@@ -26,6 +26,9 @@
     /** Maximum number of digests sent in a round, so that the traffic of one gateway doesn't grow with the fleet. */
     static constexpr std::size_t DIGESTS_PER_ROUND = 6;
 
+    /** In the first turn, as the others don't know a process that has just started. */
+    static constexpr std::size_t FIRST_TURN_PER_ROUND = 12;
+
     explicit DigestRounds(std::uint64_t seed);
 
     /** Returns the addresses of the next round, out of those given, which are sorted. */
@@ -35,6 +38,7 @@
     std::mt19937_64 m_random;
     /** The rest of the current turn, from the back. A gateway that becomes known during the turn is in it, too. */
     std::vector<Address> m_turn;
+    bool m_isFirstTurn = true;
     /** The addresses at the last round. */
     std::vector<Address> m_known;
 };
