Failing tests: calls of a large fleet to the store

Watches end after 2 to 6 s at any size; and the first list that a process reads counts as changes of the last 4 s, which don't fit into a datagram, so all gateways read for themselves. Change: two tests.

--- a/test/correctness/endpointlist.cpp
+++ b/test/correctness/endpointlist.cpp
@@ -92,6 +92,21 @@
     CHECK(other.records() == reader.records());
 }
 
+TEST_CASE("the first list of a process isn't sent as changes, however long it is")
+{
+    EndpointList reader;
+    reader.replace(endpoints(600), {1, 30}, START);
+    EndpointList other;
+    other.replace(endpoints(600), {1, 29}, START);
+    const auto update = encodeListUpdate(reader.recentChanges(START));
+    REQUIRE(update);
+    CHECK(update->size() < 100);
+    const auto received = decodeListUpdate(*update);
+    REQUIRE(received);
+    CHECK(other.merge(*received, START));
+    CHECK(other.revision() == StoreRevision{1, 30});
+}
+
 TEST_CASE("an older list never replaces a newer one")
 {
     EndpointList reader;
@@ -281,3 +296,22 @@
         CHECK(*last < milliseconds(6000));
     }
 }
+
+TEST_CASE("the watches of a fleet cost the store few calls at any size, and one ends soon at any time")
+{
+    for (const int gateways : {12, 36, 103, 370, 1000}) {
+        std::mt19937 random(5);
+        std::uniform_real_distribution<double> draw(0, 1);
+        Duration sum{};
+        for (int gateway = 0; gateway < gateways; ++gateway) {
+            const Duration wait = configurationWatchDuration(gateways, draw(random));
+            CHECK(wait < milliseconds(29000));
+            sum += wait;
+        }
+        const double perSecond = gateways * (gateways / (static_cast<double>(sum.count()) / 1e6));
+        CAPTURE(gateways);
+        // A watch lasts 30 s at most. Beyond the few seconds that the smallest fleets use, the rate is near that bound.
+        CHECK(perSecond < 4 + gateways / 10.0);
+        CHECK(perSecond > 2);
+    }
+}
