Large fleets watch the configuration longer, and first lists of endpoints serve all gateways

Change: a watch lasts up to 28 s, with the fleet's size, so that one ends each 125 ms; a gateway whose peers all fall silent reads at once. The first list that a process reads isn't a change. Lists of gateways after the first may be stale. The metric of calls is labelled with their kind, and those of the registration count, too. One test of EndpointList took the first list for changes; it now changes 199 entries after a first list of one.

--- a/src/gateway/endpointlist.cpp
+++ b/src/gateway/endpointlist.cpp
@@ -101,6 +101,7 @@
     if (revision.era == m_revision.era && revision < m_revision) {
         return;
     }
+    const bool isFirst = m_revision == StoreRevision() && m_entries.empty();
     m_revision = revision;
     expireRemovals(now);
     if (isEqualTo(list)) {
@@ -110,8 +111,10 @@
     for (const auto &[id, entry] : m_entries) {
         missing.insert(id);
     }
+    // The others have read the list, too, or know from the hash that they have to.
+    const TimePoint changedAt = isFirst ? TimePoint() : now;
     for (const auto &record : list) {
-        set(record, now);
+        set(record, changedAt);
         missing.erase(record.id);
     }
     for (const auto &id : missing) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -400,6 +400,12 @@
 {
     constexpr std::size_t SAMPLES = 4;
     m_metrics.set("cyclamenturn_live_peers", {}, static_cast<double>(m_peers.livePeerCount()));
+    const bool isAlone = m_peers.livePeerCount() == 0;
+    if (isAlone && m_hadPeers) {
+        // The watch may be long, as the peers would tell of a change that it misses.
+        m_store.recheckConfiguration("peers_silent");
+    }
+    m_hadPeers = !isAlone;
     const std::vector<Duration> ages = m_peers.heartbeatAges(m_loop.now());
     for (std::size_t i = 0; i < std::min(SAMPLES, ages.size()); ++i) {
         const auto sample = static_cast<std::size_t>(randomFraction() * static_cast<double>(ages.size()));
@@ -418,7 +424,12 @@
     m_streams.expire();
     reportPeers();
     m_metrics.set("cyclamenturn_response_memory_bytes", {}, static_cast<double>(m_responseMemory.used()));
-    m_metrics.set("cyclamenturn_store_calls", {}, static_cast<double>(m_store.calls()));
+    for (const auto &[kind, calls] : m_store.calls()) {
+        m_metrics.set("cyclamenturn_store_calls", {{"kind", kind}}, static_cast<double>(calls));
+    }
+    for (const auto &[kind, calls] : m_registration.calls()) {
+        m_metrics.set("cyclamenturn_store_calls", {{"kind", kind}}, static_cast<double>(calls));
+    }
     m_metrics.set("cyclamenturn_endpoint_connections_opened", {}, static_cast<double>(m_pool.opened()));
     m_metrics.set("cyclamenturn_caller_connections", {}, static_cast<double>(m_callerServer.connectionCount()));
     m_metrics.set("cyclamenturn_log_lines_dropped", {}, static_cast<double>(droppedLogLines()));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -255,6 +255,8 @@
     /** By the VM's time of day. */
     TimePoint m_startTimeOfDay;
     std::uint32_t m_digestSequence = 0;
+    /** Whether a peer was live at the last report. */
+    bool m_hadPeers = false;
     /** The largest number of gateways seen live at the same time. */
     mutable int m_maxGateways = 1;
     /** Set by beginStop(). */
--- a/src/gateway/listreadplan.cpp
+++ b/src/gateway/listreadplan.cpp
@@ -17,12 +17,16 @@
  * gateway that receives no updates from others. */
 constexpr Duration MAX_SPREAD = milliseconds(900);
 /** A gateway that receives no digests must find a change through its watch alone, within the two seconds in which a
- * configuration must come into force. */
+ * configuration must come into force. One that is alone all of a sudden reads the configuration at once. */
 constexpr Duration MIN_WATCH_DURATION = milliseconds(2000);
-/** On average, one watch in the fleet ends in half this time. */
+/** Each watch that ends costs a call, so watches are long where the other gateways' watches end in between. In a small
+ * fleet, one ends each 200 ms on average. */
 constexpr Duration WATCH_SPREAD_PER_GATEWAY = milliseconds(400);
-/** Each watch that ends costs a call, so watches are long where the other gateways' watches end in between. */
-constexpr Duration MAX_WATCH_SPREAD = milliseconds(4000);
+constexpr Duration SMALL_FLEET_WATCH_SPREAD = milliseconds(4000);
+/** In a large fleet, one ends each 125 ms. */
+constexpr Duration LARGE_FLEET_WATCH_SPREAD_PER_GATEWAY = milliseconds(250);
+/** The store holds a watch for 30 s at most. */
+constexpr Duration MAX_WATCH_SPREAD = milliseconds(26000);
 
 Duration randomPart(Duration spread, double draw)
 {
@@ -39,7 +43,9 @@
 
 Duration configurationWatchDuration(int gateways, double draw)
 {
-    const Duration spread = std::min(MAX_WATCH_SPREAD, (gateways - 1) * WATCH_SPREAD_PER_GATEWAY);
+    const Duration small = std::min(SMALL_FLEET_WATCH_SPREAD, (gateways - 1) * WATCH_SPREAD_PER_GATEWAY);
+    const Duration large = std::min(MAX_WATCH_SPREAD, (gateways - 1) * LARGE_FLEET_WATCH_SPREAD_PER_GATEWAY);
+    const Duration spread = std::max(small, large);
     return MIN_WATCH_DURATION + randomPart(spread, draw);
 }
 
--- a/src/gateway/messagecodec.h
+++ b/src/gateway/messagecodec.h
@@ -112,7 +112,7 @@
     virtual StoreRequest renewLeaseRequest(std::uint64_t lease) const = 0;
     virtual StoreRequest writeGatewayRequest(
         const std::string &name, const std::string &address, std::uint64_t lease) const = 0;
-    virtual StoreRequest listGatewaysRequest() const = 0;
+    virtual StoreRequest listGatewaysRequest(bool mayBeStale) const = 0;
     virtual std::uint64_t decodeLease(const std::string &body) const = 0;
 
     /** The era of the store that a response states; 0 if it states none. */
--- a/src/gateway/registration.cpp
+++ b/src/gateway/registration.cpp
@@ -58,9 +58,10 @@
     m_timer = m_loop.callAfter(wait, [this, step] { (this->*step)(); });
 }
 
-void Registration::begin(const StoreRequest &request, std::function<void(StoreResponse &&response)> responseHandler)
+void Registration::begin(
+    const char *kind, const StoreRequest &request, std::function<void(StoreResponse &&response)> responseHandler)
 {
-    ++m_calls;
+    ++m_calls[kind];
     m_call->begin(request, CALL_TIMEOUT, std::move(responseHandler));
 }
 
@@ -72,7 +73,7 @@
 void Registration::createLease()
 {
     m_loop.cancel(m_timer);
-    begin(m_codec.createLeaseRequest(LEASE_DURATION), [this](const StoreResponse &response) {
+    begin("lease", m_codec.createLeaseRequest(LEASE_DURATION), [this](const StoreResponse &response) {
         if (response.status != OK) {
             retry();
             return;
@@ -89,8 +90,8 @@
 
 void Registration::writeAddress()
 {
-    begin(
-        m_codec.writeGatewayRequest(m_name, toString(m_ownAddress), m_leaseId), [this](const StoreResponse &response) {
+    begin("address", m_codec.writeGatewayRequest(m_name, toString(m_ownAddress), m_leaseId),
+        [this](const StoreResponse &response) {
             if (response.status != OK) {
                 retry();
                 return;
@@ -102,10 +103,13 @@
 
 void Registration::listPeers()
 {
-    begin(m_codec.listGatewaysRequest(), [this](const StoreResponse &response) {
+    // Later lists only restore lost contact, so a copy of the store's serves as well, at a part of the cost.
+    const bool mayBeStale = m_hasListed;
+    begin("gateways", m_codec.listGatewaysRequest(mayBeStale), [this](const StoreResponse &response) {
         try {
             if (response.status == OK) {
                 m_listedAt = m_loop.now();
+                m_hasListed = true;
                 for (const auto &item : m_codec.decodePage(response.body).items) {
                     const Address address = addressFromString(item.value);
                     if (!(address == m_ownAddress)) {
@@ -122,7 +126,7 @@
 
 void Registration::renew()
 {
-    begin(m_codec.renewLeaseRequest(m_leaseId), [this](const StoreResponse &response) {
+    begin("renewal", m_codec.renewLeaseRequest(m_leaseId), [this](const StoreResponse &response) {
         if (response.status == NOT_FOUND) {
             LogEvent("registration_lapsed", LogEvent::Level::Warning).field("name", m_name);
             createLease();
--- a/src/gateway/registration.h
+++ b/src/gateway/registration.h
@@ -9,6 +9,7 @@
 #include "transport/eventloop.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -36,7 +37,8 @@
     void registerAgain(Duration delay);
     /** Registers in another store. */
     void setStore(const Address &store);
-    std::uint64_t calls() const
+    /** The number of calls by their kind. */
+    const std::map<std::string, std::uint64_t> &calls() const
     {
         return m_calls;
     }
@@ -48,7 +50,8 @@
     void renew();
     void retry();
     void schedule(Duration wait, void (Registration::*step)());
-    void begin(const StoreRequest &request, std::function<void(StoreResponse &&response)> responseHandler);
+    void begin(
+        const char *kind, const StoreRequest &request, std::function<void(StoreResponse &&response)> responseHandler);
 
     EventLoop &m_loop;
     const StoreCodec &m_codec;
@@ -58,8 +61,10 @@
     std::function<void(const std::string &, const Address &)> m_peerFound;
     std::uint64_t m_leaseId = 0;
     TimePoint m_listedAt;
+    /** Whether this process has read the list from the store itself. */
+    bool m_hasListed = false;
     EventLoop::Timer m_timer;
-    std::uint64_t m_calls = 0;
+    std::map<std::string, std::uint64_t> m_calls;
 };
 
 }
--- a/src/gateway/storelink.cpp
+++ b/src/gateway/storelink.cpp
@@ -85,10 +85,10 @@
     readEndpoints();
 }
 
-void StoreLink::begin(Channel &channel, const StoreRequest &request, Duration timeout,
+void StoreLink::begin(Channel &channel, const char *kind, const StoreRequest &request, Duration timeout,
     std::function<void(StoreResponse &&response)> responseHandler)
 {
-    ++m_calls;
+    ++m_calls[kind];
     channel.call->begin(
         request, timeout, [this, &channel, responseHandler = std::move(responseHandler)](StoreResponse &&response) {
             noteEra(channel, response);
@@ -96,10 +96,11 @@
         });
 }
 
-void StoreLink::read(Channel &channel, const StoreRequest &request, bool isUsableLate, const ReadHandler &handler)
+void StoreLink::read(
+    Channel &channel, const char *kind, const StoreRequest &request, bool isUsableLate, const ReadHandler &handler)
 {
     const StoreCall *call = channel.call.get();
-    begin(channel, request, MAX_READ_TIMEOUT,
+    begin(channel, kind, request, MAX_READ_TIMEOUT,
         [this, &channel, call, startedAt = m_loop.now(), handler](
             StoreResponse &&response) { handleReadResponse(channel, call, startedAt, std::move(response), handler); });
     m_loop.cancel(channel.readTimer);
@@ -193,7 +194,7 @@
 
 void StoreLink::readConfiguration()
 {
-    read(m_configuration, m_codec.readConfigurationRequest(), true,
+    read(m_configuration, "configuration", m_codec.readConfigurationRequest(), true,
         [this](StoreResponse &&response) { handleConfigurationRead(std::move(response)); });
 }
 
@@ -233,7 +234,7 @@
 {
     const Duration wait = m_listener.configurationWatchDuration();
     m_isWatching = true;
-    begin(m_configuration, m_codec.watchConfigurationRequest(m_watchedRevision.revision, wait),
+    begin(m_configuration, "configuration_watch", m_codec.watchConfigurationRequest(m_watchedRevision.revision, wait),
         wait + WATCH_RESPONSE_MARGIN,
         [this](StoreResponse &&response) { handleConfigurationWatch(std::move(response)); });
 }
@@ -431,7 +432,7 @@
     const std::string after = m_listItems.empty() ? std::string() : m_listItems.back().key;
     // The pages before a late one have been dropped.
     const bool isFirstPage = m_listItems.empty();
-    read(m_endpoints, m_codec.listEndpointsRequest(after), isFirstPage, [this](StoreResponse &&response) {
+    read(m_endpoints, "endpoints", m_codec.listEndpointsRequest(after), isFirstPage, [this](StoreResponse &&response) {
         if (response.status != OK) {
             setAvailable(m_endpoints, false, "status " + std::to_string(response.status));
             if (response.status == 0) {
--- a/src/gateway/storelink.h
+++ b/src/gateway/storelink.h
@@ -85,7 +85,8 @@
     {
         return m_selection;
     }
-    std::uint64_t calls() const
+    /** The number of calls by their kind. */
+    const std::map<std::string, std::uint64_t> &calls() const
     {
         return m_calls;
     }
@@ -140,7 +141,7 @@
     void finishListRead();
     void failListRead();
     const EndpointRecord *decodeCached(const StoreItem &item);
-    void begin(Channel &channel, const StoreRequest &request, Duration timeout,
+    void begin(Channel &channel, const char *kind, const StoreRequest &request, Duration timeout,
         std::function<void(StoreResponse &&response)> responseHandler);
     void noteEra(const Channel &channel, const StoreResponse &response);
     using ReadHandler = std::function<void(StoreResponse &&response)>;
@@ -148,7 +149,8 @@
      * Begins a read. Its timeout follows the response times that the store has shown. After the timeout the handler is
      * called with a late response, and again if the store responds after all, before it has answered a later read.
      */
-    void read(Channel &channel, const StoreRequest &request, bool isUsableLate, const ReadHandler &handler);
+    void read(
+        Channel &channel, const char *kind, const StoreRequest &request, bool isUsableLate, const ReadHandler &handler);
     void handleReadTimeout(Channel &channel, bool isUsableLate, const ReadHandler &handler);
     void handleReadResponse(Channel &channel, const StoreCall *call, TimePoint startedAt, StoreResponse &&response,
         const ReadHandler &handler);
@@ -206,7 +208,7 @@
     };
     /** Decoded registrations by key, so that unchanged ones aren't parsed again. */
     std::map<std::string, Decoded> m_decodedEndpoints;
-    std::uint64_t m_calls = 0;
+    std::map<std::string, std::uint64_t> m_calls;
 };
 
 }
--- a/test/correctness/endpointlist.cpp
+++ b/test/correctness/endpointlist.cpp
@@ -145,6 +145,7 @@
 TEST_CASE("an update that doesn't fit into a datagram isn't sent")
 {
     EndpointList reader;
+    reader.replace(endpoints(1), {1, 9}, START);
     reader.replace(endpoints(200), {1, 10}, START);
     CHECK_FALSE(encodeListUpdate(reader.recentChanges(START)));
     const TimePoint later = START + EndpointList::CHANGE_RETENTION;
