Calls that the store refuses are repeated more slowly in a large fleet

Change: storeRetryDelay(): 250 ms and a random part of up to 20 ms for each gateway, 1.5 s at most, for the configuration and the list of endpoints. Result: the new test fails with 250 ms (412 calls a second at 103 gateways, 143 allowed) and passes now.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -495,6 +495,11 @@
     return Cyclamenturn::configurationWatchDuration(static_cast<int>(m_peers.livePeerCount()) + 1, randomFraction());
 }
 
+Duration Gateway::storeRetryDelay()
+{
+    return Cyclamenturn::storeRetryDelay(static_cast<int>(m_peers.livePeerCount()) + 1, randomFraction());
+}
+
 void Gateway::applyEndpointList()
 {
     if (m_list.generation() == m_appliedList && m_endpoints.confirm(m_list.revision(), m_loop.now())) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -180,6 +180,7 @@
     void storeRestored() override;
     Duration delayUntilListRead() override;
     Duration configurationWatchDuration() override;
+    Duration storeRetryDelay() override;
     void digestReceived(const PeerDigest &digest) override;
     void endpointListUpdateReceived(const EndpointListUpdate &update) override;
     void permitQuestionReceived(const PermitQuestion &question, const Address &from) override;
--- a/src/gateway/listreadplan.cpp
+++ b/src/gateway/listreadplan.cpp
@@ -28,6 +28,11 @@
 /** The store holds a watch for 30 s at most. */
 constexpr Duration MAX_WATCH_SPREAD = milliseconds(26000);
 
+constexpr Duration MIN_RETRY_DELAY = milliseconds(250);
+/** A fleet of some hundred gateways repeats about as many calls in a second as one of thirty. */
+constexpr Duration RETRY_SPREAD_PER_GATEWAY = milliseconds(20);
+constexpr Duration MAX_RETRY_SPREAD = milliseconds(1500);
+
 Duration randomPart(Duration spread, double draw)
 {
     return Duration(static_cast<std::int64_t>(draw * static_cast<double>(spread.count())));
@@ -41,6 +46,12 @@
     return interval + randomPart(spread, draw);
 }
 
+Duration storeRetryDelay(int gateways, double draw)
+{
+    const Duration spread = std::min(MAX_RETRY_SPREAD, (gateways - 1) * RETRY_SPREAD_PER_GATEWAY);
+    return MIN_RETRY_DELAY + randomPart(spread, draw);
+}
+
 Duration configurationWatchDuration(int gateways, double draw)
 {
     const Duration small = std::min(SMALL_FLEET_WATCH_SPREAD, (gateways - 1) * WATCH_SPREAD_PER_GATEWAY);
--- a/src/gateway/listreadplan.h
+++ b/src/gateway/listreadplan.h
@@ -20,6 +20,10 @@
  * `draw` is a random number, uniform in [0, 1). */
 Duration listReadDelay(Duration interval, int gateways, double draw);
 
+/** Returns the time until a call is repeated that the store refused or left unanswered. It is short enough to read a
+ * change in time after the store's return; in a large fleet, the others tell of the change. */
+Duration storeRetryDelay(int gateways, double draw);
+
 /** Returns how long the store may hold a watch of the configuration. `draw` is a random number, uniform in [0, 1). */
 Duration configurationWatchDuration(int gateways, double draw);
 
--- a/src/gateway/storelink.cpp
+++ b/src/gateway/storelink.cpp
@@ -24,7 +24,6 @@
 constexpr Duration WATCH_RESPONSE_MARGIN = milliseconds(500);
 /** Minimum time between two reads that don't wait for the watch; reads are priced. */
 constexpr Duration RECHECK_INTERVAL = milliseconds(400);
-constexpr Duration RETRY_DELAY = milliseconds(250);
 /** Delay between reads while the store has no configuration yet, as in a fleet that has just been set up. */
 constexpr Duration MISSING_CONFIGURATION_RETRY_DELAY = milliseconds(300);
 /** Parts of a configuration that are decoded in one step of a background task. */
@@ -207,7 +206,7 @@
     }
     if (response.status != OK) {
         setAvailable(m_configuration, false, "status " + std::to_string(response.status));
-        retryConfiguration(RETRY_DELAY);
+        retryConfiguration(m_listener.storeRetryDelay());
         return;
     }
     try {
@@ -220,7 +219,7 @@
         watchConfiguration();
     } catch (const MessageFormatError &error) {
         LogEvent("store_answer_unreadable", LogEvent::Level::Error).field("reason", error.what());
-        retryConfiguration(RETRY_DELAY);
+        retryConfiguration(m_listener.storeRetryDelay());
     }
 }
 
@@ -266,7 +265,7 @@
         watchConfiguration();
     } catch (const MessageFormatError &error) {
         LogEvent("store_answer_unreadable", LogEvent::Level::Error).field("reason", error.what());
-        retryConfiguration(RETRY_DELAY);
+        retryConfiguration(m_listener.storeRetryDelay());
     }
 }
 
@@ -485,7 +484,7 @@
 {
     m_listItems.clear();
     m_listener.endpointsReadFailed();
-    scheduleListRead(RETRY_DELAY);
+    scheduleListRead(m_listener.storeRetryDelay());
 }
 
 void StoreLink::finishListRead()
--- a/src/gateway/storelink.h
+++ b/src/gateway/storelink.h
@@ -35,6 +35,7 @@
     virtual Duration delayUntilListRead() = 0;
     /** How long the store may hold a watch of the configuration. */
     virtual Duration configurationWatchDuration() = 0;
+    virtual Duration storeRetryDelay() = 0;
 };
 
 class StoreLink
--- a/test/correctness/endpointlist.cpp
+++ b/test/correctness/endpointlist.cpp
@@ -316,3 +316,20 @@
         CHECK(perSecond > 2);
     }
 }
+
+TEST_CASE("a store that refuses a large fleet gets few calls, and each gateway reads soon after its return")
+{
+    std::mt19937 random(6);
+    std::uniform_real_distribution<double> draw(0, 1);
+    for (const int gateways : {1, 8, 12, 36, 103, 370}) {
+        Duration sum{};
+        for (int gateway = 0; gateway < gateways; ++gateway) {
+            const Duration wait = storeRetryDelay(gateways, draw(random));
+            CHECK(wait <= milliseconds(gateways <= 12 ? 500 : 2000));
+            sum += wait;
+        }
+        const double perSecond = gateways * (gateways / (static_cast<double>(sum.count()) / 1e6));
+        CAPTURE(gateways);
+        CHECK(perSecond < 40 + gateways);
+    }
+}
