--- a/src/gateway/peerview.h
+++ b/src/gateway/peerview.h
@@ -2,9 +2,9 @@
  * State of the other gateways as last received in their digests, and which of them live.
  *
  * A gateway sends its digest to a few others at a time, so in a large fleet a peer's digest comes rarely. Digests also
- * pass on heartbeats: the latest sequence known of other gateways, and its age. Only a newer sequence counts, so that a
- * dead gateway can't be kept alive by peers that pass on the same heartbeat in a circle. A gateway without a recent
- * heartbeat is removed.
+ * pass on heartbeats: the latest number known of other gateways. Only a newer number counts, so that a dead gateway
+ * can't be kept alive by peers that pass on the same heartbeat in a circle. A gateway without a recent heartbeat is
+ * removed.
  */
 #pragma once
 
@@ -31,7 +31,7 @@
 class PeerView
 {
 public:
-    /** A peer is removed after this time without a newer sequence, which tolerates the loss of several datagrams. */
+    /** A peer is removed after this time without a newer heartbeat, which tolerates the loss of several datagrams. */
     static constexpr Duration PEER_TIMEOUT = milliseconds(2700);
     /** How long digests are sent to an address from which none is received. */
     static constexpr Duration CONTACT_RETENTION = milliseconds(30000);
