Review case 5: long streams are unknown after gateways were stopped in turn

Shows LOST: two gateways are stopped and started one after the other, as planned, while two software versions serve side by side. The streams that the second stop cuts are refused as unknown where their clients take them up, since a gateway hands the origins of streams to nobody when it stops.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+cd "$(dirname "${BASH_SOURCE[0]}")" && exec python3 "$PWD/case.py"
