A send that would block doesn't drop the rest of a request

Callers saw: a long request over a new connection to an endpoint with a small window was never sent whole, and its caller got 504 at the deadline.

Cause: POCO's send throws also if the socket has no room. Right after connecting, the request is written, and sendPending() follows at once. Its catch block took the exception for a reset and cleared the buffered output, but the connection went on.

Change: a send tells apart whether the operating system has no room for now. The output stays buffered then and is sent when the socket is writable.

--- a/src/transport/tcpconnection.cpp
+++ b/src/transport/tcpconnection.cpp
@@ -24,6 +24,12 @@
  */
 constexpr int TCP_USER_TIMEOUT_MS = 6000;
 
+/** Whether a send failed only because the operating system has no room for more bytes now. */
+bool isWouldBlock(const Poco::Exception &error)
+{
+    return error.code() == EAGAIN || error.code() == EWOULDBLOCK;
+}
+
 }
 
 TcpConnection::TcpConnection(EventLoop &loop, const Poco::Net::StreamSocket &socket, ConnectionListener *listener)
@@ -110,14 +116,22 @@
     if (!canSend) {
         return;
     }
+    // The event loop reports an error at its next poll.
+    sendBuffered();
+    updateModes();
+}
+
+bool TcpConnection::sendBuffered()
+{
     try {
         const int sent = m_socket.sendBytes(m_output.data(), static_cast<int>(m_output.size()));
         if (sent > 0) {
             m_output.erase(0, static_cast<std::size_t>(sent));
         }
-    } catch (const Poco::Exception &) { // the event loop reports the error at its next poll
+        return true;
+    } catch (const Poco::Exception &error) {
+        return isWouldBlock(error);
     }
-    updateModes();
 }
 
 void TcpConnection::updateModes()
@@ -170,12 +184,7 @@
     if (m_output.empty()) {
         return true;
     }
-    try {
-        const int sent = m_socket.sendBytes(m_output.data(), static_cast<int>(m_output.size()));
-        if (sent > 0) {
-            m_output.erase(0, static_cast<std::size_t>(sent));
-        }
-    } catch (const Poco::Exception &) {
+    if (!sendBuffered()) {
         // Bytes received before the reset may hold a response. receive() delivers them before it reports the
         // disconnect.
         m_output.clear();
--- a/src/transport/tcpconnection.h
+++ b/src/transport/tcpconnection.h
@@ -90,6 +90,9 @@
     int socketError() const;
     /** Returns false when the connection has ended or the listener has destroyed it. */
     bool finishConnecting();
+    /** Passes as much of the buffered output to the operating system as it takes now. Returns false if the connection
+     * has failed. */
+    bool sendBuffered();
     /** Returns false when the connection has ended or the listener has destroyed it. */
     bool sendPending();
     void receive();
