A connection isn't used again while a part of its last request is unsent

An endpoint that rejects a long request before it has read it may read on late or never. The connection was kept, and the next request waited behind the rest of the one before.

Change: a response that was complete before the request was sent ends the connection. The metric cyclamenturn_early_responses and the log line response_before_request_end tell such responses from requests that were cut.

--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -339,6 +339,7 @@
     if (!m_firstByteSeen) {
         handleFirstResponseByte();
     }
+    noteEarlyResponse();
     if (m_responseTraits.isOtherInstance) {
         endAttempt(isReusable);
         attemptFailed(AttemptOutcome::OtherInstance, EndpointResult::NotRun, GatewayRefusal::NotReached);
@@ -365,6 +366,21 @@
     finishPlainResponse();
 }
 
+void RequestFlow::noteEarlyResponse()
+{
+    const std::size_t unsent = m_connection->unsentBytes();
+    if (unsent == 0) {
+        return;
+    }
+    m_gateway.metrics().count("cyclamenturn_early_responses", {{"status", std::to_string(m_responseHead.status)}});
+    LogEvent("response_before_request_end")
+        .field("request", m_traits.attemptId)
+        .field("endpoint", m_endpoint.id)
+        .field("status", m_responseHead.status)
+        .field("unsent_bytes", static_cast<long long>(unsent))
+        .field("after_ms", toMilliseconds(m_gateway.loop().now() - m_sentAt));
+}
+
 void RequestFlow::finishStream()
 {
     if (!m_callerResponse.isStreamStarted()) {
--- a/src/gateway/requestflow.h
+++ b/src/gateway/requestflow.h
@@ -97,6 +97,8 @@
     void forwardEvents(const std::string &piece);
     void forwardEvent(const std::string &event);
     void handleFirstResponseByte();
+    /** Logs a response that was complete before the request was sent. */
+    void noteEarlyResponse();
     void finishStream();
     void finishPlainResponse();
 
--- a/src/transport/httpclientconnection.cpp
+++ b/src/transport/httpclientconnection.cpp
@@ -146,7 +146,9 @@
     }
     if (done) {
         // Bytes after the response belong to no request, so later data on this connection could not be trusted.
-        const bool reusable = m_parser->isKeepAlive() && m_connection->input().empty() && !m_isUnusable;
+        // A next request would wait behind the unsent rest of this one, which the server may never read.
+        const bool reusable
+            = m_parser->isKeepAlive() && m_connection->input().empty() && unsentBytes() == 0 && !m_isUnusable;
         ExchangeListener *listener = m_listener;
         m_listener = nullptr;
         listener->exchangeDone(reusable);
--- a/src/transport/httpclientconnection.h
+++ b/src/transport/httpclientconnection.h
@@ -81,6 +81,12 @@
     {
         return m_connection && m_connection->isConnected();
     }
+    /** Number of bytes of the request that the server hasn't made room for. Not 0 after a response that was sent before
+     * the request was read. */
+    std::size_t unsentBytes() const
+    {
+        return m_connection ? m_connection->pendingOutput() : 0;
+    }
     /** `handler` is called when bytes are received while no request is in progress; the connection is closed then. The
      * handler may destroy it. */
     void setUnexpectedDataHandler(std::function<void()> handler)
--- a/test/error/partly_sent_requests.cpp
+++ b/test/error/partly_sent_requests.cpp
@@ -149,3 +149,24 @@
     CHECK(listener.status == 200);
     CHECK(received == LONG_BODY_BYTES);
 }
+
+// The next request would wait behind the rest of the one before, which the server may never read.
+TEST_CASE("a connection isn't used again if the server has responded before it made room for the whole request")
+{
+    std::size_t received = 0;
+    SlowServer server([&received](Poco::Net::StreamSocket &connection) {
+        readHead(connection);
+        sendText(connection, "HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n\r\n");
+        std::this_thread::sleep_for(milliseconds(300));
+        received = readBody(connection, LONG_BODY_BYTES);
+    });
+    {
+        EventLoop loop;
+        HttpClientConnection connection(loop, server.address(), LIMITS, TIMEOUT);
+        const Listener listener = exchangeLongRequest(loop, connection);
+        CHECK(listener.isDone);
+        CHECK(listener.status == 503);
+        CHECK(connection.unsentBytes() > 0);
+        CHECK_FALSE(listener.isReusable);
+    }
+}
