A reset that a send has noticed doesn't complete a response without a length

Cause: the operating system reports the error of a connection once. While a part of the request was still buffered, the failed send took it. The read that followed returned 0, SO_ERROR was 0, and so the end of the connection counted as an orderly close, with which a response without a length is complete. A failed send in write() and the check whether a caller has left took the error in the same way; responses of the store come over the same code.

Change: the connection remembers that a call has reported its failure, and reports its end as lost. attempt_failed tells how many bytes of the request were unsent as the attempt ended.

--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -494,6 +494,7 @@
         .field("endpoint", m_endpoint.id)
         .field("reason", toString(reason))
         .field("after_ms", toMilliseconds(now - m_sentAt))
+        .field("unsent_bytes", m_connection ? static_cast<long long>(m_connection->unsentBytes()) : 0)
         .field("events", m_callerResponse.events());
     m_gateway.statistics(m_endpoint.id).noteResult(result, now);
     endAttempt(false);
--- a/src/transport/tcpconnection.cpp
+++ b/src/transport/tcpconnection.cpp
@@ -94,6 +94,7 @@
     try {
         return m_socket.receiveBytes(&byte, 1, MSG_PEEK) == 0;
     } catch (const Poco::Exception &) {
+        m_hasFailed = true;
         return true;
     }
 }
@@ -116,7 +117,7 @@
     if (!canSend) {
         return;
     }
-    // The event loop reports an error at its next poll.
+    // The event loop reports a failure at its next poll.
     sendBuffered();
     updateModes();
 }
@@ -130,14 +131,18 @@
         }
         return true;
     } catch (const Poco::Exception &error) {
-        return isWouldBlock(error);
+        if (isWouldBlock(error)) {
+            return true;
+        }
     }
+    m_hasFailed = true;
+    return false;
 }
 
 void TcpConnection::updateModes()
 {
     const int modes = (m_connected ? Poco::Net::PollSet::POLL_READ : 0)
-        | (m_output.empty() && m_connected ? 0 : Poco::Net::PollSet::POLL_WRITE);
+        | ((m_output.empty() || m_hasFailed) && m_connected ? 0 : Poco::Net::PollSet::POLL_WRITE);
     if (modes != m_modes) {
         m_modes = modes;
         m_loop.update(m_socket, modes);
@@ -184,10 +189,9 @@
     if (m_output.empty()) {
         return true;
     }
-    if (!sendBuffered()) {
+    if (m_hasFailed || !sendBuffered()) {
         // Bytes received before the reset may hold a response. receive() delivers them before it reports the
         // disconnect.
-        m_output.clear();
         updateModes();
         receive();
         return false;
@@ -211,8 +215,9 @@
         return;
     }
     if (count == 0) {
-        // A reset that has followed the close isn't reported by the read.
-        reportDisconnect(socketError() == 0 ? DisconnectReason::ClosedByPeer : DisconnectReason::Lost);
+        // The read doesn't report a reset that has followed the close, or that an earlier call has reported.
+        const bool isOrderly = !m_hasFailed && socketError() == 0;
+        reportDisconnect(isOrderly ? DisconnectReason::ClosedByPeer : DisconnectReason::Lost);
         return;
     }
     if (count > 0) {
--- a/src/transport/tcpconnection.h
+++ b/src/transport/tcpconnection.h
@@ -109,6 +109,9 @@
     std::string m_output;
     bool m_connected = false;
     bool m_disconnected = false;
+    /** A call has reported that the connection has failed. The operating system reports that once, and a later read
+     * ends as if the peer had closed the connection in an orderly way. */
+    bool m_hasFailed = false;
     /** Poll modes that are registered with the event loop. */
     int m_modes = 0;
     /**
--- a/test/error/partly_sent_requests.cpp
+++ b/test/error/partly_sent_requests.cpp
@@ -4,6 +4,8 @@
 #include "transport/httpclientconnection.h"
 
 #include "clock.h"
+#include "errors.h"
+#include "httpexchange.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/ServerSocket.h>
@@ -21,6 +23,8 @@
 {
 
 constexpr std::size_t LONG_BODY_BYTES = 1000000;
+/** More than the operating system buffers for a connection. */
+constexpr std::size_t HUGE_BODY_BYTES = 16000000;
 constexpr HttpLimits LIMITS{16384, 1048576};
 constexpr Duration TIMEOUT = milliseconds(5000);
 
@@ -170,3 +174,47 @@
         CHECK_FALSE(listener.isReusable);
     }
 }
+
+// The failed send of the rest of the request took the error of the reset, so the end of the response looked orderly.
+TEST_CASE("a response without a length isn't complete if the connection is reset while the request is being sent")
+{
+    SlowServer server([](Poco::Net::StreamSocket &connection) {
+        readHead(connection);
+        sendText(connection, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\na part");
+        std::this_thread::sleep_for(milliseconds(50));
+        // The connection is reset, as bytes of the request are unread.
+        connection.close();
+    });
+    EventLoop loop;
+    HttpClientConnection connection(loop, server.address(), LIMITS, TIMEOUT);
+    const Listener listener = exchangeLongRequest(loop, connection);
+    CHECK_FALSE(listener.isDone);
+    CHECK(listener.failure == ExchangeFailure::ConnectionLost);
+}
+
+// The response to a request that wasn't sent whole could still be read, and the connection kept.
+TEST_CASE("the blocking client closes a connection over which a request wasn't sent whole")
+{
+    std::string received;
+    {
+        SlowServer server([&received](Poco::Net::StreamSocket &connection) {
+            readHead(connection);
+            sendText(connection, "HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n\r\n");
+            std::this_thread::sleep_for(milliseconds(1500));
+            connection.setReceiveTimeout(Poco::Timespan(1, 0));
+            char bytes[16384];
+            int count = 0;
+            while ((count = connection.receiveBytes(bytes, sizeof(bytes))) > 0) {
+                received.append(bytes, static_cast<std::size_t>(count));
+            }
+        });
+        HttpRequest request;
+        request.method = "POST";
+        request.body.assign(HUGE_BODY_BYTES, 'r');
+        HttpConnection connection(server.address(), {milliseconds(500), milliseconds(300)});
+        CHECK_THROWS_AS(connection.exchange(request), ExchangeBrokenError);
+        request.body = "of another request";
+        CHECK_THROWS_AS(connection.exchange(request), ExchangeBrokenError);
+    }
+    CHECK(received.find_first_not_of('r') == std::string::npos);
+}
