Origins of streams outlive planned stops of gateways

Cause: the origin of a stream is told to its keepers once, as it begins. A gateway that had restarted was never told again, and one that stopped took along what it knew, so each planned stop removed a copy for good.

Change: a gateway that starts asks the others for the origins that it is to keep. One that stops tells the others so and passes its origins on to those that don't stop. Origins keep their age; queues and tables are bounded; the store isn't called. Tests can lease more than one block of ports.

--- a/scripts/portlease.py
+++ b/scripts/portlease.py
@@ -27,10 +27,14 @@
 
 def lease_ports(count):
     """Returns an iterator over `count` ports, which this process holds until it ends."""
-    assert count <= BLOCK_PORTS, f"{count} ports are more than a block has"
+    leased = []
     for first in range(FIRST_PORT, END_PORT, BLOCK_PORTS):
+        if len(leased) >= count:
+            break
         file = locked_file(f"ports-{first}", blocking=False)
         if file is not None:
             held_locks.append(file)
-            return iter(range(first, first + count))
-    raise RuntimeError("all blocks of ports are in use by other runs")
+            leased += range(first, first + BLOCK_PORTS)
+    if len(leased) < count:
+        raise RuntimeError("too many blocks of ports are in use by other runs")
+    return iter(leased[:count])
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -163,6 +163,21 @@
     m_streams.answerReceived(answer);
 }
 
+void Gateway::streamOriginsAsked(const StreamOriginsQuestion &question, const Address &from)
+{
+    m_streams.originsAsked(question, from);
+}
+
+void Gateway::stopNoticeReceived(const StopNotice &notice)
+{
+    m_streams.stopNoticeReceived(notice);
+}
+
+void Gateway::streamOriginsReceived(const std::vector<AgedOrigin> &origins)
+{
+    m_streams.originsReceived(origins);
+}
+
 std::optional<VersionKey> Gateway::soleVersion(ServiceKey service, Duration span) const
 {
     const std::optional<TimePoint> readAt = m_endpoints.readAt();
@@ -251,6 +266,7 @@
 {
     m_stop.emplace(m_loop.now(), m_settings.stopGrace);
     m_callerServer.beginDrain();
+    m_streams.beginStop();
     LogEvent("stopping").field("busy_connections", static_cast<long long>(m_callerServer.busyConnectionCount()));
     continueStop();
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -190,6 +190,9 @@
     void streamNoteReceived(const StreamOrigin &origin) override;
     void streamQuestionReceived(const StreamQuestion &question, const Address &from) override;
     void streamAnswerReceived(const StreamAnswer &answer) override;
+    void streamOriginsAsked(const StreamOriginsQuestion &question, const Address &from) override;
+    void stopNoticeReceived(const StopNotice &notice) override;
+    void streamOriginsReceived(const std::vector<AgedOrigin> &origins) override;
 
     void handleCaller(const HttpServerConnectionPtr &connection, ReceivedRequest request);
     HttpResponseHead handleRejection(const RejectedRequest &request);
--- a/src/gateway/peerdatagram.h
+++ b/src/gateway/peerdatagram.h
@@ -25,6 +25,9 @@
     StreamNote = 9,
     StreamQuestion = 10,
     StreamAnswer = 11,
+    StreamOriginsQuestion = 13,
+    StreamOrigins = 14,
+    StopNotice = 15,
 };
 
 /** Size of the largest datagram that is sent or received. */
--- a/src/gateway/peerlink.cpp
+++ b/src/gateway/peerlink.cpp
@@ -116,6 +116,21 @@
             m_listener.streamAnswerReceived(*answer);
         }
         return true;
+    case DatagramKind::StreamOriginsQuestion:
+        if (const auto question = decodeStreamOriginsQuestion(bytes); question && m_view.isKnown(sender)) {
+            m_listener.streamOriginsAsked(*question, sender);
+        }
+        return true;
+    case DatagramKind::StopNotice:
+        if (const auto notice = decodeStopNotice(bytes); notice && m_view.isKnown(sender)) {
+            m_listener.stopNoticeReceived(*notice);
+        }
+        return true;
+    case DatagramKind::StreamOrigins:
+        if (const auto origins = decodeStreamOrigins(bytes); origins && m_view.isKnown(sender)) {
+            m_listener.streamOriginsReceived(*origins);
+        }
+        return true;
     default:
         return false;
     }
--- a/src/gateway/peerlink.h
+++ b/src/gateway/peerlink.h
@@ -34,6 +34,9 @@
     virtual void streamNoteReceived(const StreamOrigin &origin) = 0;
     virtual void streamQuestionReceived(const StreamQuestion &question, const Address &from) = 0;
     virtual void streamAnswerReceived(const StreamAnswer &answer) = 0;
+    virtual void streamOriginsAsked(const StreamOriginsQuestion &question, const Address &from) = 0;
+    virtual void stopNoticeReceived(const StopNotice &notice) = 0;
+    virtual void streamOriginsReceived(const std::vector<AgedOrigin> &origins) = 0;
 };
 
 class PeerLink : private SocketHandler
--- a/src/gateway/streambroker.cpp
+++ b/src/gateway/streambroker.cpp
@@ -32,6 +32,7 @@
     , m_link(link)
     , m_metrics(metrics)
     , m_soleVersion(std::move(soleVersion))
+    , m_handover(loop, m_ownName, peers, link, m_origins, metrics)
     , m_nextId(std::random_device{}())
 {
 }
@@ -46,6 +47,12 @@
 void StreamBroker::start()
 {
     m_startedAt = m_loop.now();
+    m_handover.start();
+}
+
+void StreamBroker::beginStop()
+{
+    m_handover.beginStop();
 }
 
 bool StreamBroker::isSettled() const
@@ -63,12 +70,19 @@
     return m_gateways;
 }
 
+std::vector<std::string> StreamBroker::note(const StreamOrigin &origin)
+{
+    std::vector<std::string> owners = rankedGateways(origin.stream, gateways(), STREAM_OWNERS_ASKED);
+    m_origins.note(origin, ownerHashes(owners), m_loop.now());
+    return owners;
+}
+
 void StreamBroker::noteBegun(const StreamOrigin &origin)
 {
-    m_origins.note(origin, m_loop.now());
+    const std::vector<std::string> owners = note(origin);
     const std::string bytes = encodeStreamNote(origin);
     std::size_t copies = 0;
-    for (const std::string &name : rankedGateways(origin.stream, gateways(), STREAM_OWNERS_ASKED)) {
+    for (const std::string &name : owners) {
         const auto address = name == m_ownName ? std::nullopt : m_peers.addressOf(name);
         if (address && copies < STREAM_COPIES) {
             m_link.send(bytes, *address);
@@ -152,7 +166,22 @@
 
 void StreamBroker::noteReceived(const StreamOrigin &origin)
 {
-    m_origins.note(origin, m_loop.now());
+    note(origin);
+}
+
+void StreamBroker::originsAsked(const StreamOriginsQuestion &question, const Address &from)
+{
+    m_handover.questionReceived(question, from);
+}
+
+void StreamBroker::stopNoticeReceived(const StopNotice &notice)
+{
+    m_handover.stopNoticeReceived(notice);
+}
+
+void StreamBroker::originsReceived(const std::vector<AgedOrigin> &origins)
+{
+    m_handover.originsReceived(origins, gateways());
 }
 
 void StreamBroker::questionReceived(const StreamQuestion &question, const Address &from)
@@ -172,7 +201,7 @@
         return;
     }
     if (answer.version && !answer.isSole) {
-        m_origins.note({answer.stream, *answer.version}, m_loop.now());
+        note({answer.stream, *answer.version});
         finish(answer.id, answer.version, "origin");
         return;
     }
--- a/src/gateway/streambroker.h
+++ b/src/gateway/streambroker.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "peerlink.h"
+#include "streamhandover.h"
 #include "streammessages.h"
 #include "streamorigins.h"
 
@@ -36,6 +37,8 @@
     ~StreamBroker();
 
     void start();
+    /** Passes the origins that this gateway keeps on to others, as it is going to stop. */
+    void beginStop();
     /** Records the origin of a stream and sends it to its owners, before the first event is sent to the caller. */
     void noteBegun(const StreamOrigin &origin);
     /**
@@ -48,6 +51,9 @@
     void noteReceived(const StreamOrigin &origin);
     void questionReceived(const StreamQuestion &question, const Address &from);
     void answerReceived(const StreamAnswer &answer);
+    void originsAsked(const StreamOriginsQuestion &question, const Address &from);
+    void stopNoticeReceived(const StopNotice &notice);
+    void originsReceived(const std::vector<AgedOrigin> &origins);
     void expire();
 
 private:
@@ -66,6 +72,8 @@
         EventLoop::Timer timer;
     };
 
+    /** Keeps the origin of a stream that begins now, and returns the gateways that are to keep it. */
+    std::vector<std::string> note(const StreamOrigin &origin);
     /** The names of all gateways, this one included. */
     const std::vector<std::string> &gateways();
     /** Sends a question to these gateways; the round ends with all answers, or after `timeout`. */
@@ -84,6 +92,7 @@
     Metrics &m_metrics;
     SoleVersion m_soleVersion;
     StreamOrigins m_origins;
+    StreamHandover m_handover;
     std::vector<std::string> m_gateways;
     std::uint64_t m_membersVersion = 0;
     TimePoint m_startedAt;
--- a/src/gateway/streammessages.cpp
+++ b/src/gateway/streammessages.cpp
@@ -5,6 +5,7 @@
 
 #include "peerdatagram.h"
 
+#include <algorithm>
 #include <sstream>
 
 namespace Cyclamenturn
@@ -40,6 +41,21 @@
     return in.good() ? std::optional<Message>(out) : std::nullopt;
 }
 
+std::string encodeGateway(DatagramKind kind, std::uint32_t gateway)
+{
+    return encode(kind, [gateway](Poco::BinaryWriter &out) { out << Poco::UInt32(gateway); });
+}
+
+template<typename Message>
+std::optional<Message> decodeGateway(const std::string &bytes, DatagramKind kind)
+{
+    return decode<Message>(bytes, kind, [](Poco::BinaryReader &in, Message &out) {
+        Poco::UInt32 gateway = 0;
+        in >> gateway;
+        out = {gateway};
+    });
+}
+
 }
 
 std::string encodeStreamNote(const StreamOrigin &origin)
@@ -99,4 +115,51 @@
     });
 }
 
+std::string encodeStreamOriginsQuestion(const StreamOriginsQuestion &question)
+{
+    return encodeGateway(DatagramKind::StreamOriginsQuestion, question.gateway);
+}
+
+std::optional<StreamOriginsQuestion> decodeStreamOriginsQuestion(const std::string &bytes)
+{
+    return decodeGateway<StreamOriginsQuestion>(bytes, DatagramKind::StreamOriginsQuestion);
+}
+
+std::string encodeStopNotice(const StopNotice &notice)
+{
+    return encodeGateway(DatagramKind::StopNotice, notice.gateway);
+}
+
+std::optional<StopNotice> decodeStopNotice(const std::string &bytes)
+{
+    return decodeGateway<StopNotice>(bytes, DatagramKind::StopNotice);
+}
+
+std::string encodeStreamOrigins(const std::vector<AgedOrigin> &origins)
+{
+    return encode(DatagramKind::StreamOrigins, [&origins](Poco::BinaryWriter &out) {
+        const std::size_t count = std::min(origins.size(), MAX_ORIGINS_IN_DATAGRAM);
+        out << static_cast<Poco::UInt8>(count);
+        for (std::size_t i = 0; i < count; ++i) {
+            out << Poco::UInt64(origins[i].origin.stream) << Poco::UInt64(origins[i].origin.version)
+                << static_cast<Poco::UInt16>(toMilliseconds(origins[i].age));
+        }
+    });
+}
+
+std::optional<std::vector<AgedOrigin>> decodeStreamOrigins(const std::string &bytes)
+{
+    return decode<std::vector<AgedOrigin>>(bytes, DatagramKind::StreamOrigins, [](Poco::BinaryReader &in, auto &out) {
+        Poco::UInt8 count = 0;
+        in >> count;
+        for (int i = 0; i < count && in.good(); ++i) {
+            Poco::UInt64 stream = 0;
+            Poco::UInt64 version = 0;
+            Poco::UInt16 ageMs = 0;
+            in >> stream >> version >> ageMs;
+            out.push_back({{stream, version}, milliseconds(ageMs)});
+        }
+    });
+}
+
 }
--- a/src/gateway/streammessages.h
+++ b/src/gateway/streammessages.h
@@ -8,6 +8,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Cyclamenturn
 {
@@ -34,13 +35,37 @@
     bool isSole = false;
 };
 
+/** Asks for the origins that a gateway is to keep, since it has restarted. */
+struct StreamOriginsQuestion
+{
+    /** gatewayHash() of its name. */
+    std::uint32_t gateway = 0;
+};
+
+/** Tells that a gateway has begun to stop, so that no others pass origins on to it. */
+struct StopNotice
+{
+    /** gatewayHash() of its name. */
+    std::uint32_t gateway = 0;
+};
+
+/** Origins in one datagram, which stays within the packet size of Ethernet. */
+constexpr std::size_t MAX_ORIGINS_IN_DATAGRAM = 75;
+
 /** Serialize a message. */
 std::string encodeStreamNote(const StreamOrigin &origin);
 std::string encodeStreamQuestion(const StreamQuestion &question);
 std::string encodeStreamAnswer(const StreamAnswer &answer);
+std::string encodeStreamOriginsQuestion(const StreamOriginsQuestion &question);
+std::string encodeStopNotice(const StopNotice &notice);
+/** Takes MAX_ORIGINS_IN_DATAGRAM at most. */
+std::string encodeStreamOrigins(const std::vector<AgedOrigin> &origins);
 /** Parse a message. Return nothing if the bytes aren't a complete message of this kind. */
 std::optional<StreamOrigin> decodeStreamNote(const std::string &bytes);
 std::optional<StreamQuestion> decodeStreamQuestion(const std::string &bytes);
 std::optional<StreamAnswer> decodeStreamAnswer(const std::string &bytes);
+std::optional<StreamOriginsQuestion> decodeStreamOriginsQuestion(const std::string &bytes);
+std::optional<StopNotice> decodeStopNotice(const std::string &bytes);
+std::optional<std::vector<AgedOrigin>> decodeStreamOrigins(const std::string &bytes);
 
 }
--- a/src/gateway/streamorigin.h
+++ b/src/gateway/streamorigin.h
@@ -4,6 +4,8 @@
  */
 #pragma once
 
+#include "timepoint.h"
+
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -39,4 +41,16 @@
     }
 };
 
+/** An origin with the time since its stream began. */
+struct AgedOrigin
+{
+    StreamOrigin origin;
+    Duration age{};
+
+    bool operator==(const AgedOrigin &other) const
+    {
+        return std::tie(origin, age) == std::tie(other.origin, other.age);
+    }
+};
+
 }
--- a/src/gateway/streamowners.cpp
+++ b/src/gateway/streamowners.cpp
@@ -3,6 +3,7 @@
  */
 #include "streamowners.h"
 
+#include "peerdigest.h"
 #include "rendezvoushash.h"
 
 #include <algorithm>
@@ -28,4 +29,13 @@
     return out;
 }
 
+StreamOwnerHashes ownerHashes(const std::vector<std::string> &ranked)
+{
+    StreamOwnerHashes out{};
+    for (std::size_t i = 0; i < std::min(out.size(), ranked.size()); ++i) {
+        out[i] = gatewayHash(ranked[i]);
+    }
+    return out;
+}
+
 }
--- a/src/gateway/streamowners.h
+++ b/src/gateway/streamowners.h
@@ -6,6 +6,7 @@
 
 #include "streamorigin.h"
 
+#include <array>
 #include <string>
 #include <vector>
 
@@ -17,7 +18,12 @@
 /** Number of gateways that are asked first. The one that began the stream may be among the first in the order. */
 constexpr std::size_t STREAM_OWNERS_ASKED = STREAM_COPIES + 1;
 
+/** The gateways that keep an origin, by gatewayHash(); 0 where there are fewer. */
+using StreamOwnerHashes = std::array<std::uint32_t, STREAM_OWNERS_ASKED>;
+
 /** The first `count` of the gateways in the order for this stream. */
 std::vector<std::string> rankedGateways(StreamKey stream, const std::vector<std::string> &gateways, std::size_t count);
+/** The hashes of the first gateways of a ranking. */
+StreamOwnerHashes ownerHashes(const std::vector<std::string> &ranked);
 
 }
--- a/test/correctness/endpointstatements.cpp
+++ b/test/correctness/endpointstatements.cpp
@@ -48,6 +48,15 @@
     void streamAnswerReceived(const StreamAnswer &) override
     {
     }
+    void streamOriginsAsked(const StreamOriginsQuestion &, const Address &) override
+    {
+    }
+    void stopNoticeReceived(const StopNotice &) override
+    {
+    }
+    void streamOriginsReceived(const std::vector<AgedOrigin> &) override
+    {
+    }
 };
 
 struct Fixture
--- a/test/correctness/streamorigins.cpp
+++ b/test/correctness/streamorigins.cpp
@@ -4,6 +4,7 @@
  */
 #include "gateway/streamorigins.h"
 #include "gateway/endpointdirectory.h"
+#include "gateway/peerdigest.h"
 #include "gateway/streammessages.h"
 #include "gateway/streamowners.h"
 #include "gateway/versionhistory.h"
@@ -63,13 +64,13 @@
 TEST_CASE("the first note of a stream holds until its retention ends, and a full table forgets the oldest")
 {
     StreamOrigins origins;
-    origins.note({1, 10}, at(0));
-    origins.note({1, 11}, at(100));
+    origins.note({1, 10}, {}, at(0));
+    origins.note({1, 11}, {}, at(100));
     CHECK(origins.find(1, at(RETENTION_MS - 1)) == VersionKey(10));
     CHECK_FALSE(origins.find(1, at(RETENTION_MS)));
     CHECK_FALSE(origins.find(2, at(0)));
     for (StreamKey key = 2; key < 2 + StreamOrigins::MAX_STREAMS; ++key) {
-        origins.note({key, 20}, at(200));
+        origins.note({key, 20}, {}, at(200));
     }
     CHECK(origins.size() == StreamOrigins::MAX_STREAMS);
     CHECK_FALSE(origins.find(1, at(300)));
@@ -78,6 +79,40 @@
     CHECK(origins.size() == 0);
 }
 
+TEST_CASE("a gateway that has restarted gets the origins that it is to keep, with the age of their streams")
+{
+    const std::uint32_t own = gatewayHash("front-1");
+    StreamOrigins origins;
+    origins.note({1, 10}, ownerHashes({"front-0", "front-1"}), at(0));
+    origins.note({2, 20}, ownerHashes({"front-0", "front-2"}), at(100));
+    origins.note({3, 30}, ownerHashes({"front-1", "front-2", "front-0"}), at(200));
+    CHECK(origins.ownedBy(own, at(500))
+        == std::vector<AgedOrigin>{{{1, 10}, milliseconds(500)}, {{3, 30}, milliseconds(300)}});
+    CHECK(origins.ownedBy(own, at(RETENTION_MS)).size() == 1);
+    CHECK(origins.ownedBy(gatewayHash("front-9"), at(500)).empty());
+    CHECK(origins.notedAfter(0, at(500)).size() == 3);
+    CHECK(origins.notedAfter(2, at(500)) == std::vector<AgedOrigin>{{{3, 30}, milliseconds(300)}});
+    CHECK(origins.notedAfter(origins.notedCount(), at(500)).empty());
+    CHECK(ownerHashes({"front-0"})[STREAM_OWNERS_ASKED - 1] == 0);
+    // Passing an origin on doesn't prolong its retention.
+    StreamOrigins restarted;
+    restarted.note({1, 10}, {}, at(RETENTION_MS - 10) - milliseconds(RETENTION_MS - 20));
+    CHECK(restarted.find(1, at(RETENTION_MS - 10)) == VersionKey(10));
+    CHECK_FALSE(restarted.find(1, at(RETENTION_MS + 10)));
+}
+
+TEST_CASE("a full table doesn't take an origin that is older than all of its own")
+{
+    StreamOrigins origins;
+    for (StreamKey key = 1; key <= StreamOrigins::MAX_STREAMS; ++key) {
+        origins.note({key, 20}, {}, at(200));
+    }
+    origins.note({StreamOrigins::MAX_STREAMS + 1, 30}, {}, at(100));
+    CHECK_FALSE(origins.find(StreamOrigins::MAX_STREAMS + 1, at(300)));
+    CHECK(origins.find(1, at(300)) == VersionKey(20));
+    CHECK(origins.size() == StreamOrigins::MAX_STREAMS);
+}
+
 TEST_CASE("gateways that know the fleet a little differently still ask where an origin is kept")
 {
     std::mt19937_64 random(7);
@@ -160,6 +195,14 @@
         CHECK(decodeStreamAnswer(answer)->isSole);
         CHECK_FALSE(decodeStreamAnswer(answer.substr(0, answer.size() - 1)));
     }
+    CHECK(decodeStreamOriginsQuestion(encodeStreamOriginsQuestion({12}))->gateway == 12);
+    CHECK(decodeStopNotice(encodeStopNotice({13}))->gateway == 13);
+    CHECK_FALSE(decodeStopNotice(encodeStreamOriginsQuestion({13})));
+    const std::vector<AgedOrigin> origins{{{1, 2}, milliseconds(0)}, {{3, 4}, milliseconds(59999)}};
+    const std::string passedOn = encodeStreamOrigins(origins);
+    CHECK(decodeStreamOrigins(passedOn) == origins);
+    CHECK_FALSE(decodeStreamOrigins(passedOn.substr(0, passedOn.size() - 1)));
+    CHECK(decodeStreamOrigins(encodeStreamOrigins(std::vector<AgedOrigin>(200)))->size() == MAX_ORIGINS_IN_DATAGRAM);
     CHECK_FALSE(decodeStreamNote(question));
     CHECK_FALSE(decodeStreamNote(note.substr(0, note.size() - 1)));
     CHECK_FALSE(decodeStreamNote(""));
--- a/test/error/processes_streams.py
+++ b/test/error/processes_streams.py
@@ -127,6 +127,41 @@
     with_fleet(test, gateways=4)
 
 
+def check_taken_up(fleet, gateway, begun):
+    for attempt, version in begun:
+        status, versions, is_whole, _, _, body = fleet.open(gateway, Last_Event_Id="1", Resumes=attempt)
+        assert status == 200 and is_whole and set(versions) == {version}, (status, versions, version, body)
+
+
+def stop(gateway):
+    gateway.process.terminate()
+    assert gateway.process.wait(timeout=10) == 0
+
+
+# A gateway that had restarted knew no origins, so a planned stop of one after the other lost all streams.
+def streams_go_on_after_their_gateways_were_stopped_and_started_in_turn():
+    def test(fleet):
+        begun = [fleet.begin_broken(gateway=i % 2) for i in range(20)]
+        for gateway in (1, 0):
+            stop(fleet.gateways[gateway])
+            fleet.gateways[gateway].start()
+            eventually(fleet.gateways[gateway].is_ready, "readiness")
+            time.sleep(1.0)
+        check_taken_up(fleet, 0, begun)
+        check_taken_up(fleet, 1, begun)
+    with_fleet(test, gateways=2)
+
+
+# The last gateway that knew an origin took it along as it stopped for good.
+def streams_go_on_after_all_gateways_that_kept_them_were_stopped_for_good():
+    def test(fleet):
+        begun = [fleet.begin_broken(gateway=i % 3) for i in range(20)]
+        for gateway in (0, 1, 2):
+            stop(fleet.gateways[gateway])
+        check_taken_up(fleet, 3, begun)
+    with_fleet(test, gateways=4)
+
+
 def a_stream_whose_version_is_gone_is_refused_at_once():
     def test(fleet):
         attempt, version = fleet.begin_broken()
@@ -177,4 +212,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_tests(("Engine", "Fleet", "with_fleet", "connection_breaks", "begin_and_leave"), sys.argv[2:]))
+    sys.exit(run_tests(("Engine", "Fleet", "with_fleet", "connection_breaks", "begin_and_leave", "check_taken_up", "stop"),
+                       sys.argv[2:]))
--- a/test/fuzz/parsers.cpp
+++ b/test/fuzz/parsers.cpp
@@ -188,6 +188,9 @@
         decodeStreamNote(text);
         decodeStreamQuestion(text);
         decodeStreamAnswer(text);
+        decodeStreamOriginsQuestion(text);
+        decodeStreamOrigins(text);
+        decodeStopNotice(text);
         break;
     case 15:
         splitEvents(text);
--- a/test/performance/capacity.cpp
+++ b/test/performance/capacity.cpp
@@ -6,6 +6,7 @@
 #include "clock.h"
 #include "entrycore.h"
 #include "fixtures.h"
+#include "gateway/peerdigest.h"
 #include "gateway/permitbucket.h"
 #include "gateway/permitmessages.h"
 #include "gateway/permitowners.h"
@@ -15,6 +16,7 @@
 #include "rendezvoushash.h"
 #include "wire.h"
 
+#include <algorithm>
 #include <cmath>
 #include <cstdio>
 #include <fstream>
@@ -22,6 +24,9 @@
 #include <iomanip>
 #include <iostream>
 #include <malloc.h>
+#include <map>
+#include <random>
+#include <set>
 
 using namespace Cyclamenturn;
 
@@ -287,7 +292,8 @@
         const auto note = [&] {
             rankedGateways(++stream, names, STREAM_OWNERS_ASKED);
             for (std::size_t i = 0; i < STREAM_COPIES; ++i) {
-                origins.note(*decodeStreamNote(encodeStreamNote({stream, 1})), at(0));
+                origins.note(*decodeStreamNote(encodeStreamNote({stream, 1})),
+                    ownerHashes(rankedGateways(stream, names, STREAM_OWNERS_ASKED)), at(0));
             }
         };
         const auto ask = [&] {
@@ -306,7 +312,7 @@
     const double before = allocatedBytes();
     StreamOrigins origins;
     for (StreamKey stream = 1; stream <= StreamOrigins::MAX_STREAMS; ++stream) {
-        origins.note({stream, 1}, at(0));
+        origins.note({stream, 1}, {}, at(0));
     }
     std::cout << "origins of " << origins.size() << " streams " << (allocatedBytes() - before) / 1024 << " KB; note "
               << encodeStreamNote({1, 2}).size() << " bytes, question "
@@ -314,10 +320,67 @@
               << encodeStreamAnswer({1, 2, 3, false}).size() << '\n';
 }
 
+/** What the restart of one gateway costs: the questions, the origins that it gets, and those that it passes on before.
+ */
+void measureStreamHandover()
+{
+    constexpr int HANDOVERS = 20;
+    for (const auto &[gateways, streamsPerSecond] : {std::pair(8, 37), std::pair(103, 350), std::pair(370, 3000)}) {
+        std::vector<std::string> names;
+        for (int i = 0; i < gateways; ++i) {
+            names.push_back("front-" + std::to_string(i));
+        }
+        const std::string &restarted = names.front();
+        std::mt19937_64 random(1);
+        StreamOrigins own;
+        std::map<std::string, std::size_t> answers;
+        const double before = allocatedBytes();
+        for (std::int64_t i = 0; i < streamsPerSecond * toMilliseconds(StreamOrigins::RETENTION) / 1000; ++i) {
+            const StreamKey stream = random();
+            const std::vector<std::string> ranked = rankedGateways(stream, names, STREAM_OWNERS_ASKED);
+            std::set<std::string> keepers{names[random() % names.size()]};
+            for (auto it = ranked.begin(); it != ranked.end() && keepers.size() < 1 + STREAM_COPIES; ++it) {
+                keepers.insert(*it);
+            }
+            const bool isOwned = std::find(ranked.begin(), ranked.end(), restarted) != ranked.end();
+            for (const std::string &keeper : keepers) {
+                if (keeper == restarted) {
+                    own.note({stream, 1}, ownerHashes(ranked), at(0));
+                } else if (isOwned) {
+                    ++answers[keeper];
+                }
+            }
+        }
+        const double kilobytes = (allocatedBytes() - before) / 1024;
+        std::size_t origins = 0;
+        std::size_t datagrams = 0;
+        for (const auto &[keeper, count] : answers) {
+            origins += count;
+            datagrams += (count + MAX_ORIGINS_IN_DATAGRAM - 1) / MAX_ORIGINS_IN_DATAGRAM;
+        }
+        const std::size_t bytes
+            = origins * (encodeStreamOrigins({{}, {}}).size() - encodeStreamOrigins({{}}).size()) + datagrams * 2;
+        const double answerUs = microsecondsOf([&] { own.ownedBy(gatewayHash(names.back()), at(1)); }, HANDOVERS);
+        const double rankUs = microsecondsOf(
+            [&] {
+                for (const AgedOrigin &item : own.notedAfter(0, at(1))) {
+                    rankedGateways(item.origin.stream, names, STREAM_COPIES);
+                }
+            },
+            HANDOVERS);
+        std::cout << gateways << " gateways, " << streamsPerSecond << " streams a second: " << own.size()
+                  << " origins kept in " << kilobytes << " KB; a restart: " << gateways - 1 << " questions of "
+                  << encodeStreamOriginsQuestion({1}).size() << " bytes, " << origins << " origins in " << datagrams
+                  << " datagrams, " << bytes << " bytes; an answer " << answerUs << " us; before the stop "
+                  << own.size() * STREAM_COPIES << " origins passed on, ranked in " << rankUs << " us\n";
+    }
+}
+
 int main()
 {
     measurePermits();
     measureStreams();
+    measureStreamHandover();
     std::cout << std::setprecision(4);
     measureConfiguration();
     measureEntry();
--- a/test/soak/streamload.py
+++ b/test/soak/streamload.py
@@ -5,6 +5,8 @@
     python3 test/soak/streamload.py BUILD --seed 1 --gateways 94 --faults   gateways are killed, frozen, stopped and cut off
                                                                             from each other, and datagrams are lost
     python3 test/soak/streamload.py BUILD --seed 1 --releases               versions come and go
+    python3 test/soak/streamload.py BUILD --seed 1 --rolls 1.3 --pause-s 6  gateways are stopped and started in turn, and
+                                                                            callers take streams up after some of the stops
 
 Callers take a stream that was broken off up again at any gateway. Judged by what callers got: a stream never holds events
 of two versions, and streams that are taken up again go on at least half as often as new ones begin.
@@ -36,7 +38,7 @@
 # the connections of callers.
 ENDPOINT_BREAKS, CALLER_BREAKS = 0.15, 0.35
 # A caller tries so often, at intervals up to this one.
-TRIES, MAX_PAUSE_S = 4, 1.0
+TRIES = 4
 RELEASE_STEP_S = 1.0
 SETTLING_S = 2.0
 DATAGRAM_LOSS = 0.02
@@ -101,7 +103,7 @@
                 breaks_off = draw.random() < CALLER_BREAKS and number + 1 < TRIES
                 if self.read(stream, gateway, draw.randrange(1, EVENTS) if breaks_off else None):
                     break
-                time.sleep(draw.uniform(0, MAX_PAUSE_S))
+                time.sleep(draw.uniform(0, self.arguments.pause_s))
             self.record.add(stream)
             self.stop.wait(draw.expovariate(self.arguments.rate / self.arguments.callers))
 
@@ -175,6 +177,26 @@
         for thread in running:
             thread.join(timeout=20)
 
+    def roll(self):
+        """Stops and starts the gateways in turn; a stop may last longer than the time until the next one."""
+        def stop(gateway):
+            begin = time.monotonic()
+            gateway.process.terminate()
+            gateway.process.wait()
+            gateway.start()
+            eventually(gateway.is_ready, f"readiness of {gateway.name}", timeout_s=60)
+            self.record.add_disturbance(gateway.name, begin, time.monotonic())
+
+        threads = []
+        while not self.stop.is_set():
+            for gateway in self.gateways:
+                threads.append(threading.Thread(target=stop, args=(gateway,), daemon=True))
+                threads[-1].start()
+                if self.stop.wait(self.arguments.rolls):
+                    break
+            for thread in threads:
+                thread.join(timeout=60)
+
     def release(self):
         """Replaces one version after the other, each endpoint by one of the next version that starts first."""
         number = 0
@@ -206,12 +228,30 @@
     return ticks / os.sysconf("SC_CLK_TCK")
 
 
+def print_handover(fleet):
+    """Prints what the gateways have kept and sent, by their metrics: since their last start, the mean and the largest."""
+    def values(name):
+        found = [gateway.metric(name) for gateway in fleet.gateways]
+        return f"{sum(found) / len(found):.0f} (at most {max(found):.0f})"
+
+    resident = []
+    for gateway in fleet.gateways:
+        with open(f"/proc/{gateway.process.pid}/status", encoding="utf-8") as status:
+            resident += [int(line.split()[1]) for line in status if line.startswith("VmHWM")]
+    print(f"a gateway: origins kept {values('cyclamenturn_stream_origins')}, questions sent "
+          f"{values('cyclamenturn_stream_origins_questions')}, origins received {values('cyclamenturn_stream_origins_received')}, "
+          f"origins sent {values('cyclamenturn_stream_origins_sent')} in "
+          f"{values('cyclamenturn_stream_origins_bytes_sent')} bytes, peak memory {max(resident)} KB at most")
+
+
 def run(arguments):
     fleet = Fleet(arguments)
     threads = [threading.Thread(target=fleet.call, args=(arguments.seed * 1000 + i,), daemon=True)
                for i in range(arguments.callers)]
     if arguments.faults:
         threads.append(threading.Thread(target=fleet.inject_faults, daemon=True))
+    if arguments.rolls:
+        threads.append(threading.Thread(target=fleet.roll, daemon=True))
     if arguments.releases:
         threads.append(threading.Thread(target=fleet.release, daemon=True))
     try:
@@ -221,12 +261,15 @@
         time.sleep(arguments.seconds)
         fleet.stop.set()
         for thread in threads:
-            thread.join(timeout=20)
-        used = "" if arguments.faults else \
+            thread.join(timeout=60 if arguments.rolls else 20)
+        used = "" if arguments.faults or arguments.rolls else \
             f"; {100 * (cpu_seconds(fleet) - began) / arguments.seconds / arguments.gateways:.2f} % of a core a gateway"
         violations, summary = judge(fleet.record, is_version_kept=not arguments.releases)
         print(f"seed {arguments.seed}, {arguments.gateways} gateways{', faults' if arguments.faults else ''}"
-              f"{', releases' if arguments.releases else ''}: {summary}{used}")
+              f"{', releases' if arguments.releases else ''}{f', rolls {arguments.rolls} s' if arguments.rolls else ''}: "
+              f"{summary}{used}")
+        if arguments.rolls:
+            print_handover(fleet)
         if violations:
             directory = tempfile.mkdtemp(prefix="streamload-")
             for gateway in fleet.gateways:
@@ -247,6 +290,8 @@
     parser.add_argument("--callers", type=int, default=40)
     parser.add_argument("--rate", type=float, default=40, help="new streams a second")
     parser.add_argument("--faults", action="store_true", help="kill, stop, freeze and cut off gateways meanwhile")
+    parser.add_argument("--rolls", type=float, default=0, help="stop and start gateways in turn, one each so many seconds")
+    parser.add_argument("--pause-s", type=float, default=1.0, help="the longest time until a caller takes a stream up")
     parser.add_argument("--releases", action="store_true", help="replace versions meanwhile")
     parser.add_argument("--seconds", type=float, default=20)
     violations = run(parser.parse_args())
