A refusal that names no request doesn't count on a connection that was used before

Reported for a similar system: an endpoint wrote an earlier refusal once more on a kept connection. Callers were told that requests hadn't run which an endpoint had run (REFUSED), or such a request ran at a second one (TWICE).

Cause: each response without an id that wasn't a success was taken for one to the request in progress, also on a connection that had been used before.

Change: a refusal, or an endpoint's own failure, without an id counts only as the first final response on its connection. Otherwise it is skipped, and the response that follows is passed on. A metric and a log line tell skipped responses that name another request from those that name none.

--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -14,6 +14,8 @@
 namespace
 {
 
+/** Responses with a lower status are interim ones. */
+constexpr int FIRST_FINAL_STATUS = 200;
 constexpr int FIRST_SERVER_ERROR = 500;
 constexpr int UNAVAILABLE = 503;
 /** Assumed caller timeout for requests that don't state one. */
@@ -206,10 +208,17 @@
     sendToEndpoint();
 }
 
-bool RequestFlow::matchesRequest(const HttpResponseHead &head)
+bool RequestFlow::matchesRequest(const HttpResponseHead &head, bool isFirst)
 {
     const ResponseTraits traits = m_gateway.messages().decodeResponse(head);
-    return traits.attemptId.empty() ? !isSuccess(head.status) : traits.attemptId == m_traits.attemptId;
+    if (!traits.attemptId.empty()) {
+        return traits.attemptId == m_traits.attemptId;
+    }
+    // Without an id, a refusal or an endpoint's own failure may repeat a response to an earlier request on this
+    // connection, and this request may have run. Any other failure ends the attempt without telling the caller
+    // anything.
+    const bool isClaim = traits.hasServerSeal || traits.isNotExecuted;
+    return !isSuccess(head.status) && (isFirst || !isClaim);
 }
 
 void RequestFlow::handleFirstResponseByte()
@@ -256,7 +265,22 @@
 
 void RequestFlow::headSkipped(const HttpResponseHead &head)
 {
-    noteStatements(m_gateway.messages().decodeResponse(head));
+    const ResponseTraits traits = m_gateway.messages().decodeResponse(head);
+    noteStatements(traits);
+    if (head.status < FIRST_FINAL_STATUS) {
+        return;
+    }
+    const char *reason = traits.attemptId.empty() ? "no_id" : "other_id";
+    m_gateway.metrics().count("cyclamenturn_responses_skipped", {{"reason", reason}});
+    if (m_gateway.logBudget().allows(true, m_gateway.loop().now())) {
+        LogEvent("response_skipped", LogEvent::Level::Warning)
+            .field("request", m_traits.attemptId)
+            .field("endpoint", m_endpoint.id)
+            .field("reason", reason)
+            .field("status", head.status)
+            .field("says_not_run", static_cast<long long>(traits.isNotExecuted))
+            .field("after_ms", toMilliseconds(m_gateway.loop().now() - m_sentAt));
+    }
 }
 
 void RequestFlow::noteStatements(const ResponseTraits &response)
--- a/src/gateway/requestflow.h
+++ b/src/gateway/requestflow.h
@@ -41,7 +41,7 @@
 private:
     /** Whether the caller still waits. Otherwise the request has been ended, without a send that would be in vain. */
     bool isStillWanted() override;
-    bool matchesRequest(const HttpResponseHead &head) override;
+    bool matchesRequest(const HttpResponseHead &head, bool isFirst) override;
     void headSkipped(const HttpResponseHead &head) override;
     void headReceived(const HttpResponseHead &head) override;
     void bodyReceived(std::string piece) override;
--- a/src/gateway/storecall.cpp
+++ b/src/gateway/storecall.cpp
@@ -58,7 +58,7 @@
     }
 }
 
-bool StoreCall::matchesRequest(const HttpResponseHead &)
+bool StoreCall::matchesRequest(const HttpResponseHead &, bool)
 {
     return true;
 }
--- a/src/gateway/storecall.h
+++ b/src/gateway/storecall.h
@@ -27,7 +27,7 @@
     void cancel();
 
 private:
-    bool matchesRequest(const HttpResponseHead &head) override;
+    bool matchesRequest(const HttpResponseHead &head, bool isFirst) override;
     void headReceived(const HttpResponseHead &head) override;
     void bodyReceived(std::string piece) override;
     void exchangeDone(bool isReusable) override;
--- a/src/transport/httpclientconnection.cpp
+++ b/src/transport/httpclientconnection.cpp
@@ -114,7 +114,9 @@
     if (!m_headHandled) {
         m_headHandled = true;
         const HttpResponseHead &head = m_parser->response();
-        m_isMismatched = head.status >= FIRST_FINAL_STATUS && !m_listener->matchesRequest(head);
+        const bool isFinal = head.status >= FIRST_FINAL_STATUS;
+        m_isMismatched = isFinal && !m_listener->matchesRequest(head, !m_hasFinalResponse);
+        m_hasFinalResponse = m_hasFinalResponse || isFinal;
         if (shouldSkipResponse()) {
             m_listener->headSkipped(head);
         } else {
--- a/src/transport/httpclientconnection.h
+++ b/src/transport/httpclientconnection.h
@@ -44,8 +44,12 @@
     {
         return true;
     }
-    /** Returns whether a final response belongs to the current request. Responses to other requests are skipped. */
-    virtual bool matchesRequest(const HttpResponseHead &head) = 0;
+    /**
+     * Returns whether a final response belongs to the current request. Responses to other requests are skipped.
+     * `isFirst` tells that no final response was received on the connection before, so that this one can't repeat one
+     * to an earlier request.
+     */
+    virtual bool matchesRequest(const HttpResponseHead &head, bool isFirst) = 0;
     /** The head of a response that is skipped: an interim one, or one to another request. */
     virtual void headSkipped(const HttpResponseHead &)
     {
@@ -128,6 +132,8 @@
     /** The current response belongs to another request. */
     bool m_isMismatched = false;
     bool m_isUnusable = false;
+    /** A final response was received, to whichever request. */
+    bool m_hasFinalResponse = false;
     /** Responses skipped in the current exchange, and bytes of their bodies. */
     std::size_t m_skippedResponses = 0;
     std::size_t m_skippedBytes = 0;
--- a/test/error/partly_sent_requests.cpp
+++ b/test/error/partly_sent_requests.cpp
@@ -63,7 +63,7 @@
 class Listener : public ExchangeListener
 {
 public:
-    bool matchesRequest(const HttpResponseHead &) override
+    bool matchesRequest(const HttpResponseHead &, bool) override
     {
         return true;
     }
--- a/test/error/processes_gateway.py
+++ b/test/error/processes_gateway.py
@@ -310,6 +310,34 @@
             assert fleet.gateway.call("GET", "/plain/x")[:2] == (200, b"own")
 
 
+# Callers were told that a request hasn't run, or it ran at a second endpoint, after a refusal of an earlier request was
+# written once more without an id.
+def refusal_that_is_repeated_on_a_kept_connection_does_not_count_for_the_next_request():
+    for status, has_id in ((503, False), (429, False), (421, False), (400, False), (503, True)):
+        refusals, runs = {}, []
+
+        def refuse_first(connection, request, status=status, has_id=has_id, refusals=refusals, runs=runs):
+            if connection not in refusals:
+                own = sealed_response(request, status, extra="X-Not-Executed: 1\r\n", body=b"")
+                id_line = f"X-Attempt-Id: {request.headers['x-attempt-id']}\r\n".encode()
+                refusals[connection] = own if has_id else own.replace(id_line, b"")
+                connection.sendall(own)
+                return
+            connection.sendall(refusals[connection])
+            runs.append(request.headers["x-attempt-id"])
+            time.sleep(0.05)
+            connection.sendall(sealed_response(request, body=b"own"))
+
+        with Fleet(desk=refuse_first, copies=2) as fleet:
+            for name in ("once", "plain"):
+                while len(refusals) < 2:
+                    fleet.gateway.call("POST", f"/{name}/x", b"")
+                answers = [fleet.gateway.call("POST", f"/{name}/x", b"")[:2] for _ in range(4)]
+                assert answers == [(200, b"own")] * 4, (status, has_id, name, answers)
+            assert len(set(runs)) == len(runs), "a request has run twice"
+            assert fleet.gateway.metric("cyclamenturn_responses_skipped") >= 8
+
+
 def malformed_responses_return_502():
     responses = [b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", b"garbage\r\n\r\n",
                  b"HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\nContent-Length: 9\r\n\r\nok"]
