A sole version is believed only after a new read of the list

Cause: if no origin was known and nobody answered, a list up to 3 s old counted as complete until now, though the stream may have begun after its last read. A history with a long gap between two reads counted as one without.

Change: the list is read once more after the stream was taken up, one read for all that wait, and the history begins anew after a gap of over 3 s. stream_taken_up tells why a version wasn't confirmed.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -62,8 +62,7 @@
     , m_parts(loop, m_peerLink, m_metrics, [this] { withdrawQuarantinedPrompts(); })
     , m_permits(loop, settings.name, m_peers, m_peerLink, m_metrics)
     , m_statements(m_permits, m_metrics)
-    , m_streams(loop, settings.name, m_peers, m_peerLink, m_metrics,
-          [this](ServiceKey service, Duration span) { return soleVersion(service, span); })
+    , m_streams(loop, settings.name, m_peers, m_peerLink, m_metrics, *this)
     , m_registration(loop, store, settings.store, settings.name, settings.peers,
           [this](const auto &name, const Address &address) { m_peers.addContact(name, address, m_loop.now()); })
     , m_startTimeOfDay(currentTime())
@@ -180,8 +179,12 @@
 
 std::optional<VersionKey> Gateway::soleVersion(ServiceKey service, Duration span) const
 {
-    const std::optional<TimePoint> readAt = m_endpoints.readAt();
-    return readAt ? m_versions.soleVersion(service, span, *readAt, m_loop.now()) : std::nullopt;
+    return m_versions.soleVersion(service, span, m_loop.now());
+}
+
+void Gateway::readList(std::function<void(bool isRead)> handler)
+{
+    m_store.readListFor(std::move(handler));
 }
 
 void Gateway::withdrawQuarantinedPrompts()
@@ -519,6 +522,7 @@
 void Gateway::applyEndpointList()
 {
     if (m_list.generation() == m_appliedList && m_endpoints.confirm(m_list.revision(), m_loop.now())) {
+        m_versions.confirm(m_loop.now());
         return;
     }
     m_appliedList = m_list.generation();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -14,6 +14,7 @@
 #include "estimatecorrection.h"
 #include "gatewaysettings.h"
 #include "intakepolicy.h"
+#include "listedversions.h"
 #include "messagecodec.h"
 #include "partwatch.h"
 #include "peerlink.h"
@@ -42,7 +43,7 @@
 
 class RequestFlow;
 
-class Gateway : private StoreLinkListener, private PeerLinkListener
+class Gateway : private StoreLinkListener, private PeerLinkListener, private ListedVersions
 {
 public:
     Gateway(EventLoop &loop, const GatewaySettings &settings, const MessageCodec &messages, const StoreCodec &store);
@@ -199,7 +200,8 @@
     void handleReadiness(const HttpServerConnectionPtr &connection);
     void handleMetrics(const HttpServerConnectionPtr &connection);
     PeerDigest makeDigest();
-    std::optional<VersionKey> soleVersion(ServiceKey service, Duration span) const;
+    std::optional<VersionKey> soleVersion(ServiceKey service, Duration span) const override;
+    void readList(std::function<void(bool isRead)> handler) override;
     /** Applies the current list, just read from the store or received from a peer, to the endpoint directory. */
     void applyEndpointList();
     /** Ends the requests whose prompts have a part that was just quarantined. */
--- a/src/gateway/storelink.cpp
+++ b/src/gateway/storelink.cpp
@@ -431,7 +431,8 @@
     const std::string after = m_listItems.empty() ? std::string() : m_listItems.back().key;
     // The pages before a late one have been dropped.
     const bool isFirstPage = m_listItems.empty();
-    read(m_endpoints, "endpoints", m_codec.listEndpointsRequest(after), isFirstPage, [this](StoreResponse &&response) {
+    const TimePoint askedAt = m_loop.now();
+    const auto handler = [this, askedAt](StoreResponse &&response) {
         if (response.status != OK) {
             setAvailable(m_endpoints, false, "status " + std::to_string(response.status));
             if (response.status == 0) {
@@ -444,6 +445,7 @@
         try {
             StorePage page = m_codec.decodePage(std::move(response.body));
             if (m_listItems.empty()) {
+                m_listAskedAt = askedAt;
                 m_listRevision = {response.era, page.storeRevision};
             } else if (response.era != m_listRevision.era) {
                 // The earlier pages are those of the store before its restoration.
@@ -463,7 +465,28 @@
         }
         setAvailable(m_endpoints, true, "read");
         finishListRead();
-    });
+    };
+    read(m_endpoints, "endpoints", m_codec.listEndpointsRequest(after), isFirstPage, handler);
+}
+
+void StoreLink::readListFor(std::function<void(bool isRead)> handler)
+{
+    m_listWaiters.push_back({m_loop.now(), std::move(handler)});
+    if (!m_isListReadInProgress) {
+        m_loop.cancel(m_endpoints.timer);
+        readEndpoints();
+    }
+}
+
+void StoreLink::endListWaits(TimePoint askedAt, bool isRead)
+{
+    const auto begin = std::stable_partition(m_listWaiters.begin(), m_listWaiters.end(),
+        [askedAt](const ListWaiter &waiter) { return waiter.since > askedAt; });
+    const std::vector<ListWaiter> ended(std::make_move_iterator(begin), std::make_move_iterator(m_listWaiters.end()));
+    m_listWaiters.erase(begin, m_listWaiters.end());
+    for (const ListWaiter &waiter : ended) {
+        waiter.handler(isRead);
+    }
 }
 
 void StoreLink::scheduleListRead(Duration wait)
@@ -485,6 +508,7 @@
     m_listItems.clear();
     m_listener.endpointsReadFailed();
     scheduleListRead(m_listener.storeRetryDelay());
+    endListWaits(m_loop.now(), false);
 }
 
 void StoreLink::finishListRead()
@@ -501,6 +525,11 @@
     m_listItems.clear();
     m_listener.endpointsRead(list, m_listRevision);
     scheduleListRead(m_listener.delayUntilListRead());
+    endListWaits(m_listAskedAt, true);
+    if (!m_listWaiters.empty() && !m_isListReadInProgress) {
+        m_loop.cancel(m_endpoints.timer);
+        readEndpoints();
+    }
 }
 
 const EndpointRecord *StoreLink::decodeCached(const StoreItem &item)
--- a/src/gateway/storelink.h
+++ b/src/gateway/storelink.h
@@ -55,6 +55,9 @@
     void handlePeerConfirmation(const StoreRevision &revision, TimePoint at);
     /** Reads the configuration now instead of waiting for the watch. `reason` is logged. */
     void recheckConfiguration(const char *reason);
+    /** Reads the list of endpoints now, and calls `handler` once with whether a read that began after this call has
+     * succeeded. */
+    void readListFor(std::function<void(bool isRead)> handler);
     /** Postpones the next read of the list of endpoints, because another gateway has just read it. */
     void postponeListRead();
     /** The revision of the latest configuration that was decoded; it may not be in force. */
@@ -141,6 +144,8 @@
     void scheduleListRead(Duration wait);
     void finishListRead();
     void failListRead();
+    /** Calls the handlers that wait for a read that began at `askedAt` or before. */
+    void endListWaits(TimePoint askedAt, bool isRead);
     const EndpointRecord *decodeCached(const StoreItem &item);
     void begin(Channel &channel, const char *kind, const StoreRequest &request, Duration timeout,
         std::function<void(StoreResponse &&response)> responseHandler);
@@ -198,6 +203,14 @@
     bool m_isWatching = false;
     /** Whether a read of the list is in progress. */
     bool m_isListReadInProgress = false;
+    struct ListWaiter
+    {
+        TimePoint since;
+        std::function<void(bool isRead)> handler;
+    };
+    std::vector<ListWaiter> m_listWaiters;
+    /** When the first page of the list being read was asked for. */
+    TimePoint m_listAskedAt;
     /** Items of the pages received so far of the list being read. */
     std::vector<StoreItem> m_listItems;
     /** Store revision of the first page: the list contains all changes up to it. */
--- a/src/gateway/streambroker.cpp
+++ b/src/gateway/streambroker.cpp
@@ -19,19 +19,21 @@
 constexpr Duration LAST_ROUND_TIMEOUT = milliseconds(150);
 /** If the owners don't know a stream, so many others are asked: the gateway that began it may be among them. */
 constexpr std::size_t MAX_ASKED_LAST = 32;
+/** A store that is well answers within a few milliseconds. */
+constexpr Duration LIST_TIMEOUT = milliseconds(500);
 /** After its start, a gateway learns of the others within this time, and asks again until then. */
 constexpr Duration SETTLING_TIME = milliseconds(600);
 
 }
 
 StreamBroker::StreamBroker(
-    EventLoop &loop, std::string ownName, PeerView &peers, PeerLink &link, Metrics &metrics, SoleVersion soleVersion)
+    EventLoop &loop, std::string ownName, PeerView &peers, PeerLink &link, Metrics &metrics, ListedVersions &versions)
     : m_loop(loop)
     , m_ownName(std::move(ownName))
     , m_peers(peers)
     , m_link(link)
     , m_metrics(metrics)
-    , m_soleVersion(std::move(soleVersion))
+    , m_versions(versions)
     , m_handover(loop, m_ownName, peers, link, m_origins, metrics)
     , m_nextId(std::random_device{}())
 {
@@ -98,9 +100,8 @@
         handler(known, "origin");
         return;
     }
-    const auto sole = question.stream == 0 ? m_soleVersion(question.service, question.span) : std::nullopt;
-    if (sole || m_pending.size() >= MAX_PENDING) {
-        handler(sole, sole ? "sole_version" : "unknown");
+    if (m_pending.size() >= MAX_PENDING) {
+        handler(std::nullopt, "unknown");
         return;
     }
     const std::uint32_t id = ++m_nextId;
@@ -109,6 +110,10 @@
     pending.question.id = id;
     pending.handler = std::move(handler);
     pending.startedAt = m_loop.now();
+    if (question.stream == 0 && m_versions.soleVersion(question.service, question.span)) {
+        continueWithoutOrigin(id);
+        return;
+    }
     ask(id, rankedGateways(question.stream, gateways(), STREAM_OWNERS_ASKED), OWNERS_TIMEOUT);
 }
 
@@ -132,6 +137,9 @@
 void StreamBroker::endRound(std::uint32_t id)
 {
     Pending &pending = m_pending.at(id);
+    if (pending.isListAwaited) {
+        return;
+    }
     m_loop.cancel(pending.timer);
     if (!pending.isLastRound) {
         pending.isLastRound = true;
@@ -140,18 +148,38 @@
         pending.isLastRound = false;
         ask(id, rankedGateways(pending.question.stream, gateways(), STREAM_OWNERS_ASKED), OWNERS_TIMEOUT);
     } else {
-        finishWithoutOrigin(id);
+        continueWithoutOrigin(id);
     }
 }
 
-void StreamBroker::finishWithoutOrigin(std::uint32_t id)
+void StreamBroker::continueWithoutOrigin(std::uint32_t id)
 {
-    const Pending &pending = m_pending.at(id);
-    std::optional<VersionKey> sole = m_soleVersion(pending.question.service, pending.question.span);
+    Pending &pending = m_pending.at(id);
+    std::optional<VersionKey> sole = m_versions.soleVersion(pending.question.service, pending.question.span);
     if (!sole && !pending.isContradictory) {
         sole = pending.soleVersion;
     }
-    finish(id, sole, sole ? "sole_version" : "unknown");
+    if (!sole) {
+        finish(id, std::nullopt, "unknown");
+        return;
+    }
+    // A gateway that stood still or was cut off doesn't know which versions have joined meanwhile.
+    pending.isListAwaited = true;
+    pending.timer = m_loop.callAfter(LIST_TIMEOUT, [this, id, version = *sole] { listRead(id, version, false); });
+    m_versions.readList([this, id, version = *sole](bool isRead) { listRead(id, version, isRead); });
+}
+
+void StreamBroker::listRead(std::uint32_t id, VersionKey version, bool isRead)
+{
+    const auto found = m_pending.find(id);
+    if (found == m_pending.end()) {
+        return;
+    }
+    const bool isSole = isRead && m_versions.soleVersion(found->second.question.service, Duration()) == version;
+    finish(id, isSole ? std::optional(version) : std::nullopt,
+        isSole       ? "sole_version"
+            : isRead ? "other_version_listed"
+                     : "list_unread");
 }
 
 void StreamBroker::finish(std::uint32_t id, std::optional<VersionKey> version, const char *source)
@@ -188,7 +216,7 @@
 {
     StreamAnswer answer{question.id, question.stream, m_origins.find(question.stream, m_loop.now()), false};
     if (!answer.version) {
-        answer.version = m_soleVersion(question.service, question.span);
+        answer.version = m_versions.soleVersion(question.service, question.span);
         answer.isSole = true;
     }
     m_link.send(encodeStreamAnswer(answer), from);
--- a/src/gateway/streambroker.h
+++ b/src/gateway/streambroker.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "listedversions.h"
 #include "peerlink.h"
 #include "streamhandover.h"
 #include "streammessages.h"
@@ -26,14 +27,11 @@
     /** Receives the version that began the stream, or nothing if no gateway that can be reached knows it. `source`
      * tells how it is known. */
     using Handler = std::function<void(std::optional<VersionKey> version, const char *source)>;
-    /** Returns the sole version of the service within the time, by this gateway's list; see VersionHistory. */
-    using SoleVersion = std::function<std::optional<VersionKey>(ServiceKey service, Duration span)>;
-
     /** Questions that may wait for answers; further ones are answered with nothing. */
     static constexpr std::size_t MAX_PENDING = 4096;
 
     StreamBroker(EventLoop &loop, std::string ownName, PeerView &peers, PeerLink &link, Metrics &metrics,
-        SoleVersion soleVersion);
+        ListedVersions &versions);
     ~StreamBroker();
 
     void start();
@@ -43,8 +41,8 @@
     void noteBegun(const StreamOrigin &origin);
     /**
      * Finds out which version began the stream: from its origin, or, if nobody knows that, because the service had one
-     * version alone since it can have begun. The id of `question` is ignored. Calls `handler` once, immediately or from
-     * the event loop.
+     * version alone since it can have begun, and a list that is read now still shows no other one. The id of `question`
+     * is ignored. Calls `handler` once, immediately or from the event loop.
      */
     void resolve(const StreamQuestion &question, Handler handler);
 
@@ -69,6 +67,8 @@
         std::optional<VersionKey> soleVersion;
         /** Whether they don't agree on it. */
         bool isContradictory = false;
+        /** Whether the questions are over and the list is being read. */
+        bool isListAwaited = false;
         EventLoop::Timer timer;
     };
 
@@ -79,8 +79,9 @@
     /** Sends a question to these gateways; the round ends with all answers, or after `timeout`. */
     void ask(std::uint32_t id, const std::vector<std::string> &names, Duration timeout);
     void endRound(std::uint32_t id);
-    /** Ends the search without an origin. */
-    void finishWithoutOrigin(std::uint32_t id);
+    /** Goes on without an origin: reads the list to confirm the sole version, if there is one. */
+    void continueWithoutOrigin(std::uint32_t id);
+    void listRead(std::uint32_t id, VersionKey version, bool isRead);
     void finish(std::uint32_t id, std::optional<VersionKey> version, const char *source);
     /** Whether this gateway has run long enough to know the others. */
     bool isSettled() const;
@@ -90,7 +91,7 @@
     PeerView &m_peers;
     PeerLink &m_link;
     Metrics &m_metrics;
-    SoleVersion m_soleVersion;
+    ListedVersions &m_versions;
     StreamOrigins m_origins;
     StreamHandover m_handover;
     std::vector<std::string> m_gateways;
--- a/src/gateway/versionhistory.cpp
+++ b/src/gateway/versionhistory.cpp
@@ -11,7 +11,7 @@
 
 void VersionHistory::update(const std::vector<EndpointRecord> &list, TimePoint now)
 {
-    m_since = m_since.value_or(now);
+    confirm(now);
     for (auto &[service, versions] : m_listings) {
         for (auto it = versions.begin(); it != versions.end();) {
             Listing &listing = it->second;
@@ -25,11 +25,18 @@
     }
 }
 
-std::optional<VersionKey> VersionHistory::soleVersion(
-    ServiceKey service, Duration span, TimePoint listReadAt, TimePoint now) const
+void VersionHistory::confirm(TimePoint now)
+{
+    if (!m_since || now - m_readAt > MAX_LIST_AGE) {
+        m_since = now;
+    }
+    m_readAt = now;
+}
+
+std::optional<VersionKey> VersionHistory::soleVersion(ServiceKey service, Duration span, TimePoint now) const
 {
     const auto found = m_listings.find(service);
-    const bool isComplete = m_since && now - *m_since >= span && now - listReadAt <= MAX_LIST_AGE;
+    const bool isComplete = m_since && now - *m_since >= span && now - m_readAt <= MAX_LIST_AGE;
     if (found == m_listings.end() || !isComplete || span > StreamOrigins::RETENTION) {
         return std::nullopt;
     }
--- a/test/correctness/streamorigins.cpp
+++ b/test/correctness/streamorigins.cpp
@@ -158,27 +158,56 @@
 TEST_CASE("a service has a sole version only if no other one was listed within the retention")
 {
     VersionHistory history;
-    const auto sole = [&history](std::int64_t ms, std::int64_t readAgoMs = 0) {
-        return history.soleVersion(serviceKey("s"), StreamOrigins::RETENTION, at(ms - readAgoMs), at(ms));
+    // The list is read again and again until `ms - readAgoMs`.
+    std::int64_t readMs = 0;
+    const auto sole = [&history, &readMs](std::int64_t ms, std::int64_t readAgoMs = 0) {
+        for (; readMs <= ms - readAgoMs; readMs += 500) {
+            history.confirm(at(readMs));
+        }
+        return history.soleVersion(serviceKey("s"), StreamOrigins::RETENTION, at(ms));
     };
     history.update({endpoint("a", "v1"), endpoint("t", "v9", "t")}, at(0));
     CHECK_FALSE(sole(RETENTION_MS - 1));
     CHECK(sole(RETENTION_MS) == versionKey(endpoint("a", "v1")));
-    CHECK_FALSE(sole(RETENTION_MS, 3001));
-    CHECK_FALSE(history.soleVersion(serviceKey("?"), milliseconds(1), at(RETENTION_MS), at(RETENTION_MS)));
-    CHECK_FALSE(history.soleVersion(serviceKey("s"), milliseconds(RETENTION_MS + 1), at(99000), at(99000)));
-    CHECK(history.soleVersion(serviceKey("s"), milliseconds(15000), at(15000), at(15000)));
+    CHECK_FALSE(sole(RETENTION_MS + 3001, 3001));
+    CHECK_FALSE(history.soleVersion(serviceKey("?"), milliseconds(1), at(RETENTION_MS)));
+    CHECK(sole(RETENTION_MS + 4000));
+    CHECK_FALSE(history.soleVersion(serviceKey("s"), milliseconds(RETENTION_MS + 1), at(RETENTION_MS + 4000)));
+    CHECK(history.soleVersion(serviceKey("s"), milliseconds(15000), at(RETENTION_MS + 4000)));
+    sole(69500);
     history.update({endpoint("a", "v1"), endpoint("b", "v2")}, at(70000));
     CHECK_FALSE(sole(70000));
+    sole(79500);
     history.update({endpoint("b", "v2")}, at(80000));
     CHECK_FALSE(sole(80000 + RETENTION_MS - 1));
     CHECK(sole(80000 + RETENTION_MS) == versionKey(endpoint("b", "v2")));
     // No endpoint is listed, but streams of this version may be taken up once it is back.
+    sole(149500);
     history.update({}, at(150000));
     CHECK(sole(150000 + RETENTION_MS - 1) == versionKey(endpoint("b", "v2")));
     CHECK_FALSE(sole(150000 + RETENTION_MS));
 }
 
+// A gateway that stood still or was cut off may have missed that a version came and went.
+TEST_CASE("a service has no sole version for a time in which the list wasn't read for long")
+{
+    VersionHistory history;
+    const std::vector<EndpointRecord> list{endpoint("a", "v1")};
+    const auto sole = [&history](std::int64_t ms) {
+        return history.soleVersion(serviceKey("s"), milliseconds(5000), at(ms)).has_value();
+    };
+    history.update(list, at(0));
+    history.confirm(at(2500));
+    history.confirm(at(5000));
+    CHECK(sole(5000));
+    history.confirm(at(8001));
+    CHECK_FALSE(sole(8001));
+    history.confirm(at(10500));
+    history.update(list, at(13000));
+    CHECK_FALSE(sole(13000));
+    CHECK(sole(13001));
+}
+
 TEST_CASE("messages about streams are the same after encoding and decoding, and cut ones are refused")
 {
     const std::string note = encodeStreamNote({5, 6});
--- a/test/error/processes_streams.py
+++ b/test/error/processes_streams.py
@@ -2,10 +2,15 @@
 """Tests of streams that are taken up again while endpoints of several software versions serve."""
 import json
 import os
+import random
+import signal
 import sys
 import time
 
-from gatewayfleet import Endpoint, Gateway, Store, chunk, configuration, eventually, route, run_tests, stream_head
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "soak"))
+from crashload import RelayedStore  # noqa: E402
+from datagramrelay import DatagramRelay  # noqa: E402
+from gatewayfleet import Endpoint, Gateway, chunk, configuration, eventually, route, run_tests, stream_head  # noqa: E402
 
 BUILD = sys.argv[1]
 EVENTS = 4
@@ -39,7 +44,8 @@
 
 class Fleet:
     def __init__(self, versions, gateways=1):
-        self.store = Store()
+        self.relay = DatagramRelay(random.random)
+        self.store = RelayedStore(self.relay)
         self.store.put("op/config", configuration(1, ROUTES, KEYS))
         self.engines = [Engine(self.store, f"i-{i}", version) for i, version in enumerate(versions)]
         self.gateways = [Gateway(BUILD, self.store, f"g{i}") for i in range(gateways)]
@@ -69,6 +75,7 @@
         for engine in self.engines:
             engine.server.close()
         self.store.server.close()
+        self.relay.close()
 
 
 def connection_breaks(engines, after):
@@ -211,6 +218,39 @@
     with_fleet(test, versions=("v1", "v1"), gateways=3)
 
 
+def begin_at_new_version_behind_the_back_of(fleet, gateway):
+    """Lets endpoints of v2 join while the gateway is cut off and stands still; returns the attempt of a stream that they
+    began."""
+    # As long as a stream may last, and the list may lag.
+    time.sleep(ROUTES[0]["timeout_ms"] / 1000 + 3.0)
+    fleet.relay.cut(gateway.metrics_port + 1, True)
+    gateway.process.send_signal(signal.SIGSTOP)
+    for i in range(2):
+        fleet.engines.append(Engine(fleet.store, f"new-{i}", "v2"))
+    time.sleep(0.5)
+    for _ in range(50):
+        attempt, version = fleet.begin_broken(gateway=0)
+        if version == "v2":
+            return attempt
+    raise AssertionError("no stream began at the new version")
+
+
+# A gateway that was out of step took its list for complete, and went on with streams of a version that it didn't know.
+def a_gateway_that_was_out_of_step_while_a_version_joined_does_not_take_its_list_for_complete():
+    def take_up(fleet, has_store, has_attempt):
+        attempt = begin_at_new_version_behind_the_back_of(fleet, fleet.gateways[1])
+        if not has_store:
+            fleet.store.is_down = True
+            fleet.store.server.close_connections()
+        fleet.gateways[1].process.send_signal(signal.SIGCONT)
+        status, versions, _, _, _, body = fleet.open(1, Last_Event_Id="1", **({"Resumes": attempt} if has_attempt else {}))
+        assert (status, body) == (503, b"stream_unknown\n"), (status, versions, body)
+    for has_store, has_attempt in ((False, True), (False, False), (True, True), (True, False)):
+        with_fleet(lambda fleet, has_store=has_store, has_attempt=has_attempt: take_up(fleet, has_store, has_attempt),
+                   versions=("v1", "v1"), gateways=2)
+
+
 if __name__ == "__main__":
-    sys.exit(run_tests(("Engine", "Fleet", "with_fleet", "connection_breaks", "begin_and_leave", "check_taken_up", "stop"),
+    sys.exit(run_tests(("Engine", "Fleet", "with_fleet", "connection_breaks", "begin_and_leave", "check_taken_up", "stop",
+                        "begin_at_new_version_behind_the_back_of"),
                        sys.argv[2:]))
