--- a/src/gateway/registration.cpp
+++ b/src/gateway/registration.cpp
@@ -111,19 +111,30 @@
                 m_listedAt = m_loop.now();
                 m_hasListed = true;
                 for (const auto &item : m_codec.decodePage(response.body).items) {
-                    const Address address = addressFromString(item.value);
-                    if (!(address == m_ownAddress)) {
-                        m_peerFound(item.key.substr(item.key.rfind('/') + 1), address);
-                    }
+                    notePeer(item);
                 }
             }
-        } catch (const std::runtime_error &error) {
+        } catch (const MessageFormatError &error) {
             LogEvent("gateway_list_unreadable", LogEvent::Level::Error).field("reason", error.what());
         }
         schedule(response.status == OK ? RENEWAL_INTERVAL : RETRY_DELAY, &Registration::renew);
     });
 }
 
+void Registration::notePeer(const StoreItem &item)
+{
+    try {
+        const Address address = addressFromString(item.value);
+        if (!(address == m_ownAddress)) {
+            m_peerFound(item.key.substr(item.key.rfind('/') + 1), address);
+        }
+    } catch (const UserError &) {
+        LogEvent("gateway_entry_unreadable", LogEvent::Level::Warning)
+            .field("key", item.key)
+            .field("bytes", static_cast<long long>(item.value.size()));
+    }
+}
+
 void Registration::renew()
 {
     begin("renewal", m_codec.renewLeaseRequest(m_leaseId), [this](const StoreResponse &response) {
--- a/src/gateway/registration.h
+++ b/src/gateway/registration.h
@@ -47,6 +47,8 @@
     void createLease();
     void writeAddress();
     void listPeers();
+    /** Notes a gateway of the list. An entry that holds no address is logged. */
+    void notePeer(const StoreItem &item);
     void renew();
     void retry();
     void schedule(Duration wait, void (Registration::*step)());
