A connection to an incarnation that was replaced isn't kept for the next one

Found by a test that failed once on the untouched code (processes_odd_entries, each new endpoint under the same id), and traced: requests for the endpoint's id were served, but not by the endpoint that the list showed.

Cause: the pool files connections under the endpoint's id. One that was in use while the endpoint was replaced under its id was released afterwards and used for the new incarnation, as long as the old one served.

Change: a connection is kept only if the list still shows the incarnation to which it was made.

Measured: the new test failed before (five of five requests at the old incarnation) and passes now.

--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -481,7 +481,13 @@
         statistics.noteFirstEvent(m_placement.prefillTokens);
     }
     statistics.noteEnded();
-    if (isReusable) {
+    // Meanwhile the endpoint may have been replaced under its id, and the old incarnation may serve for a while.
+    const EndpointRecord *current = m_gateway.endpoints().find(m_endpoint.id);
+    const bool isCurrent = current != nullptr && current->isSameIncarnation(m_endpoint);
+    if (isReusable && !isCurrent) {
+        m_gateway.metrics().count("cyclamenturn_outdated_connections_closed");
+    }
+    if (isReusable && isCurrent) {
         m_gateway.pool().release(
             m_endpoint.id, std::move(m_connection), m_responseTraits.keepAlive.value_or(DEFAULT_IDLE_TIMEOUT));
     } else {
--- a/test/error/processes_gateway.py
+++ b/test/error/processes_gateway.py
@@ -260,6 +260,33 @@
         assert all(request.headers["x-expect-instance"] == "desk-1" for request in executed)
 
 
+# The connection of a request that was in progress was kept for the new incarnation, as both have the same id.
+def connection_to_an_incarnation_that_was_replaced_is_not_used_again():
+    def run_slowly(connection, request):
+        time.sleep(0.6 if request.target.startswith("/once") else 0)
+        connection.sendall(sealed_response(request, body=b"old"))
+
+    for is_listed_meanwhile in (True, False):
+        with Fleet(desk=run_slowly) as fleet:
+            old = fleet.endpoints[0]
+            slow = threading.Thread(target=fleet.gateway.call, args=("POST", "/once/x", b""), daemon=True)
+            slow.start()
+            eventually(lambda old=old: old.requests, "the request at the old incarnation")
+            if not is_listed_meanwhile:
+                fleet.store.remove("servers/desk-0")
+                time.sleep(0.3)
+                slow.join()
+            new = Endpoint(lambda connection, request: connection.sendall(sealed_response(request, body=b"new")))
+            fleet.endpoints.append(new)
+            fleet.store.put("servers/desk-0", {**new.registration("desk"), "born": 2})
+            event = "endpoint_restarted" if is_listed_meanwhile else "endpoint_added"
+            eventually(lambda fleet=fleet, event=event, new=new: [
+                line for line in fleet.gateway.log_lines(event) if str(new.server.port) in line], "the new incarnation")
+            slow.join()
+            answers = [fleet.gateway.call("GET", "/plain/x")[:2] for _ in range(5)]
+            assert answers == [(200, b"new")] * 5, (is_listed_meanwhile, answers)
+
+
 def idempotent_requests_survive_dropped_idle_connections():
     def drop_when_reused(connection, request):
         connection.sendall(sealed_response(request))
