A stream goes on only at an endpoint that states the incarnation of its entry

Cause: the version of an endpoint was that of its entry, as old as the last read of the list; X-Expect-Instance names the id only.

Change: before a stream goes on, the endpoint is asked for its incarnation over the connection that the request will take.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -182,6 +182,11 @@
     return m_versions.soleVersion(service, span, m_loop.now());
 }
 
+void Gateway::refreshList()
+{
+    m_store.readListFor([](bool) {});
+}
+
 void Gateway::readList(std::function<void(bool isRead)> handler)
 {
     m_store.readListFor(std::move(handler));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -162,6 +162,8 @@
     /** Returns a uniformly distributed random number in [0, 1). */
     double randomFraction();
 
+    /** Reads the list of endpoints soon, as an endpoint was found to differ from it. */
+    void refreshList();
     /** Whether this process has just started and is still reading the configuration and the list of endpoints. */
     bool awaitsFirstConfiguration() const;
     /** Resumes the flow once this process is ready, or 500 ms after its start at the latest. */
--- a/src/gateway/messagecodec.h
+++ b/src/gateway/messagecodec.h
@@ -42,6 +42,11 @@
     /** Returns the id of a stream event, or an empty string if it has none. `event` includes its terminating empty
      * line. */
     virtual std::string eventId(const std::string &event) const = 0;
+    /** A request that an endpoint answers with its incarnation. */
+    virtual HttpRequestHead incarnationRequest() const = 0;
+    /** EndpointRecord::startedAtMs of the endpoint that has sent this response to incarnationRequest(), or nothing if
+     * it isn't stated. */
+    virtual std::optional<std::int64_t> decodeIncarnation(const std::string &body) const = 0;
 };
 
 /** A request to the platform's store. */
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -618,6 +618,7 @@
     m_finished = true;
     m_gateway.loop().cancel(m_deadlineTimer);
     m_gateway.loop().cancel(m_permitTimer);
+    cancelCheck();
     if (m_isDemandCounted) {
         m_gateway.placement().noteEnded(*m_traits.prompt);
     }
--- a/src/gateway/requestflow.h
+++ b/src/gateway/requestflow.h
@@ -8,6 +8,7 @@
 #include "crashwitness.h"
 #include "endpointlimit.h"
 #include "eventsplitter.h"
+#include "incarnationcheck.h"
 #include "permitdecision.h"
 #include "placement.h"
 #include "resendpolicy.h"
@@ -73,6 +74,12 @@
     /** Asks for a permit that the request waits for, at the endpoint that is expected to have one first. Returns false
      * if no endpoint has a limit. */
     bool waitForPermit();
+    /** Sends the stream on if the endpoint is still the incarnation that the list shows, or else elsewhere. */
+    void checkIncarnation(const Placement &placement, std::unique_ptr<HttpClientConnection> connection);
+    void incarnationChecked(
+        Placement placement, IncarnationCheck::Result result, std::unique_ptr<HttpClientConnection> connection);
+    /** Ends a check in progress and closes its connection. */
+    void cancelCheck();
     void permitDecided(const PermitDecision &decision);
     void sendWithPermit();
     /** Refuses the request and returns true when its first event is expected too late to be of use. */
@@ -146,6 +153,8 @@
     /** Connection of the attempt in progress; null between attempts. */
     std::unique_ptr<HttpClientConnection> m_connection;
     EndpointRecord m_endpoint;
+    /** Runs while a stream is to go on at an endpoint that hasn't stated its incarnation yet. */
+    std::unique_ptr<IncarnationCheck> m_check;
     /** EndpointRecord::incarnationName() of m_endpoint. */
     std::string m_incarnation;
     Placement m_placement;
--- a/src/gateway/requestflowresumption.cpp
+++ b/src/gateway/requestflowresumption.cpp
@@ -88,4 +88,50 @@
     }
 }
 
+void RequestFlow::checkIncarnation(const Placement &placement, std::unique_ptr<HttpClientConnection> connection)
+{
+    m_check = std::make_unique<IncarnationCheck>(m_gateway.loop(), m_gateway.messages(), *placement.endpoint,
+        std::move(connection), [this, placement](IncarnationCheck::Result result, auto checkedConnection) {
+            incarnationChecked(placement, result, std::move(checkedConnection));
+        });
+}
+
+void RequestFlow::incarnationChecked(
+    Placement placement, IncarnationCheck::Result result, std::unique_ptr<HttpClientConnection> connection)
+{
+    // The check is on the call stack.
+    const std::unique_ptr<IncarnationCheck> check = std::move(m_check);
+    const EndpointRecord &expected = check->expected();
+    m_gateway.metrics().count("cyclamenturn_incarnation_checks", {{"result", toString(result)}});
+    if (result == IncarnationCheck::Result::Same || result == IncarnationCheck::Result::NotStated) {
+        placement.endpoint = &expected;
+        if (isStillWanted()) {
+            startAttempt(placement, std::move(connection));
+        } else {
+            m_gateway.pool().releaseClosed(expected.id);
+        }
+        return;
+    }
+    LogEvent("incarnation_not_confirmed", LogEvent::Level::Warning)
+        .field("request", m_traits.attemptId)
+        .field("endpoint", expected.id)
+        .field("version", expected.version)
+        .field("result", toString(result));
+    connection.reset();
+    m_gateway.pool().releaseClosed(expected.id);
+    m_triedEndpoints.insert(expected.id);
+    if (result == IncarnationCheck::Result::Other) {
+        m_gateway.refreshList();
+    }
+    sendToEndpoint();
+}
+
+void RequestFlow::cancelCheck()
+{
+    if (m_check) {
+        m_gateway.pool().releaseClosed(m_check->expected().id);
+        m_check.reset();
+    }
+}
+
 }
--- a/src/gateway/requestflowsending.cpp
+++ b/src/gateway/requestflowsending.cpp
@@ -141,7 +141,11 @@
     if (!connection) {
         return false;
     }
-    startAttempt(placement, std::move(connection));
+    if (m_version && placement.endpoint->startedAtMs != 0) {
+        checkIncarnation(placement, std::move(connection));
+    } else {
+        startAttempt(placement, std::move(connection));
+    }
     return true;
 }
 
--- a/test/error/gatewayfleet.py
+++ b/test/error/gatewayfleet.py
@@ -203,6 +203,15 @@
     return b"%x\r\n%s\r\n" % (len(text), text.encode())
 
 
+def answers_report(connection, request, born=1):
+    """Answers a request for the endpoint's report, which tells its incarnation. Returns whether it was one."""
+    if request.target != "/-/report":
+        return False
+    text = json.dumps({"born": born, "running": 0, "waiting": 0}).encode()
+    connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(text) + text)
+    return True
+
+
 class Endpoint:
     """A simulated endpoint, which records each request and calls `script(connection, request)` to respond to it.
 
@@ -210,11 +219,13 @@
     """
 
     def __init__(self, script):
-        self.requests, self.script = [], script
+        self.requests, self.script, self.born = [], script, 1
         self.server = Server(self.serve)
 
     def serve(self, connection, stream):
         while (request := read_request(stream)):
+            if answers_report(connection, request, self.born):
+                continue
             self.requests.append(request)
             if self.script(connection, request) is False:
                 connection.shutdown(socket.SHUT_RDWR)
@@ -222,7 +233,7 @@
 
     def registration(self, service="model", state="ready"):
         return {"service": service, "addr": f"127.0.0.1:{self.server.port}", "zone": "z", "version": "v1", "slots": 4,
-                "state": state, "cold_left_ms": 0, "sequence": 1, "born": 1}
+                "state": state, "cold_left_ms": 0, "sequence": 1, "born": self.born}
 
 
 def route(name, service, kind="idempotent", **more):
--- a/test/error/processes_streams.py
+++ b/test/error/processes_streams.py
@@ -10,7 +10,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "soak"))
 from crashload import RelayedStore  # noqa: E402
 from datagramrelay import DatagramRelay  # noqa: E402
-from gatewayfleet import Endpoint, Gateway, chunk, configuration, eventually, route, run_tests, stream_head  # noqa: E402
+from gatewayfleet import Endpoint, Gateway, Server, chunk, configuration, eventually, route, run_tests, stream_head  # noqa: E402
 
 BUILD = sys.argv[1]
 EVENTS = 4
@@ -30,6 +30,14 @@
     def register(self, state="ready"):
         self.store.put(f"servers/{self.name}", {**self.registration(state=state), "version": self.version})
 
+    def replace_in_place(self, version):
+        """Restarts the endpoint with another version under its id and address; its entry stays as it is."""
+        port = self.server.port
+        self.server.close()
+        self.server.close_connections()
+        self.version, self.born = version, self.born + 1
+        self.server = Server(self.serve, port)
+
     def respond(self, connection, request):
         first = int(request.headers.get("last-event-id") or 0) + 1
         connection.sendall(stream_head(request))
@@ -218,6 +226,18 @@
     with_fleet(test, versions=("v1", "v1"), gateways=3)
 
 
+# The list shows the former version until the endpoint has written its entry and the gateway has read it.
+def a_stream_does_not_go_on_at_an_endpoint_that_was_replaced_in_place():
+    def test(fleet):
+        begun = [fleet.begin_broken() for _ in range(20)]
+        fleet.engines[0].replace_in_place("v2")
+        check_taken_up(fleet, 0, begun)
+        fleet.engines[1].replace_in_place("v2")
+        status, versions, _, _, _, body = fleet.open(Last_Event_Id="1", Resumes=begun[0][0])
+        assert status == 503, (status, versions, body)
+    with_fleet(test, versions=("v1", "v1"))
+
+
 def begin_at_new_version_behind_the_back_of(fleet, gateway):
     """Lets endpoints of v2 join while the gateway is cut off and stands still; returns the attempt of a stream that they
     began."""
--- a/test/soak/crashload.py
+++ b/test/soak/crashload.py
@@ -25,8 +25,8 @@
 from crashrecord import CrashRecord, violations_of  # noqa: E402
 from datagramrelay import DatagramRelay  # noqa: E402
 from faultylink import reset  # noqa: E402
-from gatewayfleet import PORTS_PER_GATEWAY, Gateway, Server, Store, chunk, configuration, eventually, read_request, route  # noqa: E402
-from gatewayfleet import sealed_response, stream_head  # noqa: E402
+from gatewayfleet import PORTS_PER_GATEWAY, Gateway, Server, Store, answers_report, chunk, configuration  # noqa: E402
+from gatewayfleet import eventually, read_request, route, sealed_response, stream_head  # noqa: E402
 from portlease import lease_ports  # noqa: E402
 
 GATEWAY_KEY = "cyclamenturn/gateways/"
@@ -80,6 +80,8 @@
                 name, incarnation = self.name, self.incarnation
                 if not self.is_up:
                     raise EndpointEnded
+                if answers_report(connection, request, 1 + incarnation):
+                    continue
                 if request.headers.get("x-expect-instance") != name:
                     connection.sendall(sealed_response(request, 421, b"", "X-Not-Executed: 1\r\n"))
                     continue
--- a/test/soak/streamload.py
+++ b/test/soak/streamload.py
@@ -26,7 +26,7 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from crashload import LoadGateway, RelayedStore  # noqa: E402
 from datagramrelay import DatagramRelay  # noqa: E402
-from gatewayfleet import PORTS_PER_GATEWAY, Server, chunk, configuration, eventually, read_request  # noqa: E402
+from gatewayfleet import PORTS_PER_GATEWAY, Server, answers_report, chunk, configuration, eventually, read_request  # noqa: E402
 from gatewayfleet import route, stream_head  # noqa: E402
 from portlease import lease_ports  # noqa: E402
 from streamrecord import Stream, StreamRecord, judge  # noqa: E402
@@ -68,6 +68,8 @@
 
     def serve(self, connection, stream):
         while (request := read_request(stream)):
+            if answers_report(connection, request):
+                continue
             first = int(request.headers.get("last-event-id") or 0) + 1
             last = first + self.random.randrange(1, 6) if self.random.random() < ENDPOINT_BREAKS else EVENTS
             connection.sendall(stream_head(request))
