A planned stop waits for responses that aren't sent yet

Cause: a stop was over once no request was in progress, though a part of a response was still in the gateway's output buffer.

Change: it also waits for connections with unsent output, until the grace time is nearly over.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -294,7 +294,7 @@
 
 bool Gateway::isStopped() const
 {
-    return m_stop && m_stop->isOver(m_callerServer.busyConnectionCount(), m_loop.now());
+    return m_stop && m_stop->isOver(m_callerServer.unfinishedConnectionCount(), m_loop.now());
 }
 
 int Gateway::connectionLimit(const std::string &service) const
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -55,7 +55,8 @@
     void reload(const GatewaySettings &settings);
     /** Starts a graceful stop: readiness checks fail, and each caller connection closes after its current response. */
     void beginStop();
-    /** Whether, after beginStop(), no request is in progress any more or the grace time is nearly over. */
+    /** Whether, after beginStop(), no request is in progress and no response unsent any more, or the grace time is nearly
+     * over. */
     bool isStopped() const;
     /** Whether a request that may last up to `maxDuration` is accepted. False when a stop in progress leaves too little
      * time. */
--- a/src/gateway/stopplan.cpp
+++ b/src/gateway/stopplan.cpp
@@ -22,9 +22,9 @@
     return !closesIdleConnections(now) || now + maxDuration <= m_startedAt + m_grace - EXIT_MARGIN;
 }
 
-bool StopPlan::isOver(std::size_t busyConnections, TimePoint now) const
+bool StopPlan::isOver(std::size_t unfinishedConnections, TimePoint now) const
 {
-    return now - m_startedAt >= m_grace - EXIT_MARGIN || (closesIdleConnections(now) && busyConnections == 0);
+    return now - m_startedAt >= m_grace - EXIT_MARGIN || (closesIdleConnections(now) && unfinishedConnections == 0);
 }
 
 }
--- a/src/gateway/stopplan.h
+++ b/src/gateway/stopplan.h
@@ -25,7 +25,8 @@
     bool closesIdleConnections(TimePoint now) const;
     /** Whether to accept a request that may last for up to `maxDuration`. */
     bool accepts(Duration maxDuration, TimePoint now) const;
-    bool isOver(std::size_t busyConnections, TimePoint now) const;
+    /** `unfinishedConnections` have a request in progress or a response that isn't sent completely. */
+    bool isOver(std::size_t unfinishedConnections, TimePoint now) const;
 
 private:
     TimePoint m_startedAt;
--- a/src/transport/httpserver.cpp
+++ b/src/transport/httpserver.cpp
@@ -73,6 +73,12 @@
         m_connections.begin(), m_connections.end(), [](const auto &item) { return item.second->isBusy(); }));
 }
 
+std::size_t HttpServer::unfinishedConnectionCount() const
+{
+    return static_cast<std::size_t>(std::count_if(m_connections.begin(), m_connections.end(),
+        [](const auto &item) { return item.second->isBusy() || item.second->pendingOutput() > 0; }));
+}
+
 void HttpServer::closeIdleConnections()
 {
     std::vector<HttpServerConnectionPtr> idle;
--- a/src/transport/httpserver.h
+++ b/src/transport/httpserver.h
@@ -81,6 +81,8 @@
         return m_connections.size();
     }
     std::size_t busyConnectionCount() const;
+    /** Number of connections with a request in progress or with output that the operating system hasn't taken yet. */
+    std::size_t unfinishedConnectionCount() const;
 
 private:
     friend class HttpServerConnection;
--- a/test/error/processes_gateway.py
+++ b/test/error/processes_gateway.py
@@ -467,6 +467,30 @@
         assert fleet.gateway.process.wait(15) == 0
 
 
+# The gateway ended while a part of a response was still in its own buffer.
+def planned_stop_delivers_responses_to_slow_readers():
+    size = 3000000
+    with Fleet(desk=lambda connection, request: connection.sendall(sealed_response(request, body=b"x" * size))) as fleet:
+        with socket.socket() as caller:
+            # By default, the loopback interface buffers megabytes of a connection.
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+            caller.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1448)
+            caller.connect(("127.0.0.1", fleet.gateway.callers_port))
+            caller.settimeout(5)
+            caller.sendall(b"GET /plain/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: slow\r\nX-Deadline-Ms: 9000\r\n"
+                           b"Authorization: Bearer key-1\r\n\r\n")
+            eventually(fleet.requests, "the request at the endpoint")
+            time.sleep(0.3)
+            fleet.gateway.process.terminate()
+            begin, received = time.monotonic(), 0
+            while (part := caller.recv(65536)):
+                received += len(part)
+                # 0.5 MB a second.
+                time.sleep(max(0.0, begin + received / 500000 - time.monotonic()))
+        assert received > size, f"{received} bytes received of a head and {size}"
+        assert fleet.gateway.process.wait(timeout=5) == 0
+
+
 def reload_rejects_invalid_settings_and_the_gateway_keeps_serving():
     with Fleet() as fleet:
         fleet.gateway.process.send_signal(signal.SIGHUP)
