A loop that ends destroys what its timers own while it can still be called

Seen in the review with AddressSanitizer, at the end of 1 of 36 planned stops: a flow that had ended in the last iteration was kept by a timer only. The destructor of the loop destroyed it along with the timers, and the flow's destructor cancelled its own timers in the same table, of a gateway that was gone.

Change: the loop's destructor first takes the timers and tasks out of its tables. A gateway keeps its ended flows itself, so that none outlives it. The load test of streams ends its gateways if they don't start.

Measured: the new test failed before with AddressSanitizer (heap-use-after-free) and passes now.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -10,6 +10,7 @@
 #include "requestflow.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Cyclamenturn
 {
@@ -353,10 +354,14 @@
 void Gateway::remove(RequestFlow *flow)
 {
     const auto found = m_flows.find(flow);
-    if (found != m_flows.end()) {
-        m_loop.callAt(m_loop.now(), [kept = found->second] {});
-        m_flows.erase(found);
+    if (found == m_flows.end()) {
+        return;
+    }
+    if (m_endedFlows.empty()) {
+        m_loop.callAt(m_loop.now(), [this] { std::exchange(m_endedFlows, {}); });
     }
+    m_endedFlows.push_back(std::move(found->second));
+    m_flows.erase(found);
 }
 
 HttpResponseHead Gateway::handleRejection(const RejectedRequest &request)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -55,8 +55,8 @@
     void reload(const GatewaySettings &settings);
     /** Starts a graceful stop: readiness checks fail, and each caller connection closes after its current response. */
     void beginStop();
-    /** Whether, after beginStop(), no request is in progress and no response unsent any more, or the grace time is nearly
-     * over. */
+    /** Whether, after beginStop(), no request is in progress and no response unsent any more, or the grace time is
+     * nearly over. */
     bool isStopped() const;
     /** Whether a request that may last up to `maxDuration` is accepted. False when a stop in progress leaves too little
      * time. */
@@ -244,6 +244,9 @@
     Metrics m_metrics;
     std::mt19937_64 m_random;
     std::unordered_map<RequestFlow *, std::shared_ptr<RequestFlow>> m_flows;
+    /** Flows that have ended in this iteration and may be on the call stack. They refer to this gateway, so that
+     * nothing that lives longer may own them. */
+    std::vector<std::shared_ptr<RequestFlow>> m_endedFlows;
     TimePoint m_startedAt;
     /** Whether the configuration has been as new as that of each peer; stays true. */
     bool m_hasCaughtUp = false;
--- a/src/transport/eventloop.cpp
+++ b/src/transport/eventloop.cpp
@@ -58,6 +58,15 @@
 {
 }
 
+EventLoop::~EventLoop()
+{
+    while (!m_timers.empty() || !m_tasks.empty()) {
+        // Destroying these may cancel or add others.
+        const auto timers = std::exchange(m_timers, {});
+        const auto tasks = std::exchange(m_tasks, {});
+    }
+}
+
 void EventLoop::watch(const Poco::Net::Socket &socket, int modes, SocketHandler *handler)
 {
     m_handlers[socket.impl()] = handler;
--- a/src/transport/eventloop.h
+++ b/src/transport/eventloop.h
@@ -46,6 +46,10 @@
     using Task = std::uint64_t;
 
     EventLoop();
+    /** Destroys what the remaining timers and tasks own, while the loop can still be called. */
+    ~EventLoop();
+    EventLoop(const EventLoop &) = delete;
+    EventLoop &operator=(const EventLoop &) = delete;
 
     /** Monotonic time at which the running callback was called. */
     TimePoint now() const
--- a/test/correctness/eventloop.cpp
+++ b/test/correctness/eventloop.cpp
@@ -211,3 +211,36 @@
     }
     REQUIRE(order == "rtrtrtr");
 }
+
+// Objects that a timer kept for its iteration cancelled their own timers while the loop destroyed all of them.
+TEST_CASE("a loop that ends destroys what its timers and tasks own, also if that cancels others")
+{
+    struct Owner
+    {
+        explicit Owner(EventLoop &eventLoop)
+            : loop(eventLoop)
+            , timer(loop.callAfter(milliseconds(1000), [] {}))
+            , task(loop.addTask([] { return false; }))
+        {
+        }
+        ~Owner()
+        {
+            loop.cancel(timer);
+            loop.cancelTask(task);
+        }
+        EventLoop &loop;
+        EventLoop::Timer timer;
+        EventLoop::Task task;
+    };
+    std::weak_ptr<Owner> last;
+    {
+        EventLoop loop;
+        for (int i = 0; i < 8; ++i) {
+            auto owner = std::make_shared<Owner>(loop);
+            last = owner;
+            loop.callAt(loop.now(), [owner] {});
+            loop.addTask([owner] { return false; });
+        }
+    }
+    CHECK(last.expired());
+}
--- a/test/soak/streamload.py
+++ b/test/soak/streamload.py
@@ -90,8 +90,12 @@
         self.engines = [Engine(self, f"{version}-{i}", version) for version in arguments.versions for i in range(2)]
         ports = lease_ports(PORTS_PER_GATEWAY * arguments.gateways)
         self.gateways = [LoadGateway(arguments.build, self.store, f"g{i}", ports) for i in range(arguments.gateways)]
-        for gateway in self.gateways:
-            eventually(gateway.is_ready, f"readiness of {gateway.name}", timeout_s=60)
+        try:
+            for gateway in self.gateways:
+                eventually(gateway.is_ready, f"readiness of {gateway.name}", timeout_s=60)
+        except AssertionError:
+            self.close()
+            raise
         # The gateways learn of each other.
         time.sleep(SETTLING_S)
 
