Streams that are taken up make no calls of their own to a store that has failed

Left open by: while the store fails at once, each stream that was taken up without a known origin read the list at once.

Cause: a read on demand didn't regard the delay that follows a failed read.

Change: after a failed read, the next try that is due anyway serves those that wait, unless another gateway has read the list since.

--- a/src/gateway/storelink.cpp
+++ b/src/gateway/storelink.cpp
@@ -472,7 +472,8 @@
 void StoreLink::readListFor(std::function<void(bool isRead)> handler)
 {
     m_listWaiters.push_back({m_loop.now(), std::move(handler)});
-    if (!m_isListReadInProgress) {
+    // After a failed read, its next try serves those that wait, so that a store that fails at once isn't flooded.
+    if (!m_isListReadInProgress && !m_hasListReadFailed) {
         m_loop.cancel(m_endpoints.timer);
         readEndpoints();
     }
@@ -498,6 +499,8 @@
 
 void StoreLink::postponeListRead()
 {
+    // Another gateway has just read the list, so the store may answer this one, too.
+    m_hasListReadFailed = false;
     if (!m_isListReadInProgress) {
         scheduleListRead(m_listener.delayUntilListRead());
     }
@@ -505,6 +508,7 @@
 
 void StoreLink::failListRead()
 {
+    m_hasListReadFailed = true;
     m_listItems.clear();
     m_listener.endpointsReadFailed();
     scheduleListRead(m_listener.storeRetryDelay());
@@ -523,6 +527,7 @@
     }
     m_decodedEndpoints = std::move(stillListed);
     m_listItems.clear();
+    m_hasListReadFailed = false;
     m_listener.endpointsRead(list, m_listRevision);
     scheduleListRead(m_listener.delayUntilListRead());
     endListWaits(m_listAskedAt, true);
--- a/src/gateway/storelink.h
+++ b/src/gateway/storelink.h
@@ -55,8 +55,8 @@
     void handlePeerConfirmation(const StoreRevision &revision, TimePoint at);
     /** Reads the configuration now instead of waiting for the watch. `reason` is logged. */
     void recheckConfiguration(const char *reason);
-    /** Reads the list of endpoints now, and calls `handler` once with whether a read that began after this call has
-     * succeeded. */
+    /** Reads the list of endpoints now, or as soon as the next try is due if the last read has failed, and calls
+     * `handler` once with whether a read that began after this call has succeeded. */
     void readListFor(std::function<void(bool isRead)> handler);
     /** Postpones the next read of the list of endpoints, because another gateway has just read it. */
     void postponeListRead();
@@ -203,6 +203,8 @@
     bool m_isWatching = false;
     /** Whether a read of the list is in progress. */
     bool m_isListReadInProgress = false;
+    /** Whether the last read of the list has failed; the next one is scheduled, or in progress. */
+    bool m_hasListReadFailed = false;
     struct ListWaiter
     {
         TimePoint since;
--- a/test/error/processes_streams.py
+++ b/test/error/processes_streams.py
@@ -5,6 +5,7 @@
 import random
 import signal
 import sys
+import threading
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "soak"))
@@ -238,6 +239,37 @@
     with_fleet(test, versions=("v1", "v1"))
 
 
+# Each stream that was taken up made a call of its own to a store that had just failed.
+def a_store_that_fails_at_once_is_not_called_for_each_stream_that_is_taken_up():
+    def list_reads(gateway):
+        text = gateway.call("GET", "/metrics", port=gateway.metrics_port)[1].decode()
+        return sum(float(line.rsplit(" ", 1)[1]) for line in text.splitlines()
+                   if line.startswith("cyclamenturn_store_calls") and 'kind="endpoints"' in line)
+
+    def test(fleet):
+        # As long as a stream may last, and the list may lag.
+        time.sleep(ROUTES[0]["timeout_ms"] / 1000 + 3.0)
+        fleet.store.is_down = True
+        fleet.store.server.close_connections()
+        time.sleep(1.1)
+        begin, before, streams = time.monotonic(), list_reads(fleet.gateways[0]), 0
+        callers = []
+        while time.monotonic() < begin + 1.2:
+            callers.append(threading.Thread(target=fleet.open, kwargs={"Last_Event_Id": "1"}, daemon=True))
+            callers[-1].start()
+            streams += 1
+            time.sleep(0.02)
+        for caller in callers:
+            caller.join()
+        # The metric is set once a second.
+        time.sleep(1.1)
+        # One call each 0.25 s at most, as without streams that are taken up.
+        allowed = (time.monotonic() - begin) / 0.25 + 1
+        reads = list_reads(fleet.gateways[0]) - before
+        assert streams > 40 and reads <= allowed, (streams, reads, allowed)
+    with_fleet(test, versions=("v1", "v1"))
+
+
 def begin_at_new_version_behind_the_back_of(fleet, gateway):
     """Lets endpoints of v2 join while the gateway is cut off and stands still; returns the attempt of a stream that they
     began."""
