Origins that are passed on are sent at their pace, in full datagrams

Found by a test of what a stop passes on, over real datagrams: 1,564 datagrams were sent in 34 ms, and 44 where 28 suffice.

Cause: the queue's interval began only if more than 16 datagrams waited after a single call, so that many small answers went out in one burst, which receivers may not be able to read. A batch just over a datagram was sent in two.

Change: the interval follows each turn of sending; only full datagrams are sent before the last ones; the queue has room for a last part for each gateway.

--- a/src/gateway/streamhandover.cpp
+++ b/src/gateway/streamhandover.cpp
@@ -19,10 +19,8 @@
 constexpr Duration REPEAT_AFTER = milliseconds(500);
 constexpr int MAX_TIMES_ASKED = 2;
 
-constexpr Duration SEND_INTERVAL = milliseconds(20);
-constexpr int SENT_AT_A_TIME = 16;
-/** Enough for a full table that is passed on to two gateways. */
-constexpr std::size_t MAX_QUEUED = 2 * StreamOrigins::MAX_STREAMS / MAX_ORIGINS_IN_DATAGRAM;
+/** Enough for a full table that is passed on to two gateways, with a last part for each of some hundred gateways. */
+constexpr std::size_t MAX_QUEUED = 2 * StreamOrigins::MAX_STREAMS / MAX_ORIGINS_IN_DATAGRAM + 512;
 
 /** Until a gateway that stops has ended, others may tell it to keep origins. */
 constexpr Duration PASS_ON_INTERVAL = milliseconds(500);
@@ -160,15 +158,14 @@
         }
     }
     const bool isLast = state.next == state.origins.size();
-    for (auto it = state.batches.begin(); it != state.batches.end();) {
-        if (!isLast && it->second.size() < MAX_ORIGINS_IN_DATAGRAM) {
-            ++it;
-            continue;
-        }
-        if (const auto address = m_peers.addressOf(it->first)) {
-            post(it->second, *address);
+    for (auto &[name, batch] : state.batches) {
+        const std::size_t whole = batch.size() - batch.size() % MAX_ORIGINS_IN_DATAGRAM;
+        const auto rest = batch.begin() + static_cast<std::ptrdiff_t>(isLast ? batch.size() : whole);
+        const auto address = m_peers.addressOf(name);
+        if (address && rest != batch.begin()) {
+            post(std::vector<AgedOrigin>(batch.begin(), rest), *address);
         }
-        it = state.batches.erase(it);
+        batch.erase(batch.begin(), rest);
     }
     return !isLast;
 }
@@ -187,22 +184,25 @@
         m_metrics.count("cyclamenturn_stream_origins_sent", {}, static_cast<double>(part.size()));
     }
     if (!m_isSending) {
+        m_isSending = true;
         sendQueued();
     }
 }
 
 void StreamHandover::sendQueued()
 {
+    // Before it ends, a turn without datagrams follows the last one, so that no more are sent at a time.
+    m_isSending = !m_queue.empty();
+    if (!m_isSending) {
+        return;
+    }
     for (int i = 0; i < SENT_AT_A_TIME && !m_queue.empty(); ++i) {
         const auto &[to, bytes] = m_queue.front();
         m_link.send(bytes, to);
         m_metrics.count("cyclamenturn_stream_origins_bytes_sent", {}, static_cast<double>(bytes.size()));
         m_queue.pop_front();
     }
-    m_isSending = !m_queue.empty();
-    if (m_isSending) {
-        m_sendTimer = m_loop.callAfter(SEND_INTERVAL, [this] { sendQueued(); });
-    }
+    m_sendTimer = m_loop.callAfter(SEND_INTERVAL, [this] { sendQueued(); });
 }
 
 }
--- a/src/gateway/streamhandover.h
+++ b/src/gateway/streamhandover.h
@@ -28,6 +28,10 @@
     /** In fleets of at most this size, others are asked twice, as few know an origin and datagrams are lost. */
     static constexpr std::size_t SMALL_FLEET = 32;
 
+    /** Datagrams are sent so many at a time, so that receivers can read them all. */
+    static constexpr int SENT_AT_A_TIME = 16;
+    static constexpr Duration SEND_INTERVAL = milliseconds(20);
+
     StreamHandover(EventLoop &loop, std::string ownName, PeerView &peers, PeerLink &link, StreamOrigins &origins,
         Metrics &metrics);
     ~StreamHandover();
@@ -88,9 +92,10 @@
     std::uint64_t m_passedOnCount = 0;
     EventLoop::Timer m_passOnTimer;
     EventLoop::Task m_passingOnTask = 0;
-    /** Datagrams to be sent; few at a time, so that receivers can read them all. At most MAX_QUEUED. */
+    /** Datagrams to be sent. At most MAX_QUEUED. */
     std::deque<std::pair<Address, std::string>> m_queue;
     EventLoop::Timer m_sendTimer;
+    /** Whether m_sendTimer is pending. */
     bool m_isSending = false;
 };
 
