--- a/src/transport/httpmessage.h
+++ b/src/transport/httpmessage.h
@@ -57,6 +57,11 @@
     HttpFields fields;
 };
 
+inline bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
 struct HttpResponseHead
 {
     int status = 0;
