Log lines tell which version and incarnation an endpoint was taken for

The version stood in the last line of a request only, for its last endpoint, and the incarnation nowhere.

attempt_failed, request_resent and request_finished now have endpoint_version and incarnation, stream_taken_up the version that was found, and the lines about the list its incarnation, its start and its version's key. A line that names an incarnation other than the list's line before it, for the same endpoint, shows hypothesis 1 or 3; source=sole_version shows hypothesis 2.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -454,6 +454,9 @@
         .field("endpoint", record.id)
         .field("service", record.service)
         .field("version", record.version)
+        .field("version_key", versionText(versionKey(record)))
+        .field("incarnation", record.incarnationName())
+        .field("started_at_ms", static_cast<long long>(record.startedAtMs))
         .field("address", toString(record.address))
         .field("revision", static_cast<long long>(m_list.revision().revision))
         .field("era", static_cast<long long>(m_list.revision().era));
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -259,6 +259,8 @@
     LogEvent("attempt_failed")
         .field("request", m_traits.attemptId)
         .field("endpoint", m_endpoint.id)
+        .field("endpoint_version", m_endpoint.version)
+        .field("incarnation", m_incarnation)
         .field("reason", toString(reason))
         .field("after_ms", toMilliseconds(now - m_sentAt))
         .field("unsent_bytes", m_connection ? static_cast<long long>(m_connection->unsentBytes()) : 0)
--- a/src/gateway/requestflowlog.cpp
+++ b/src/gateway/requestflowlog.cpp
@@ -55,6 +55,7 @@
             .field("priority", m_admitted.priority)
             .field("endpoint", m_endpoint.id)
             .field("endpoint_version", m_endpoint.version)
+            .field("incarnation", m_incarnation)
             .field("sends", m_sends)
             .field("events", m_callerResponse.events())
             .field("first_event_ms", toMilliseconds(m_callerResponse.timeToFirstEvent()))
--- a/src/gateway/requestflowresumption.cpp
+++ b/src/gateway/requestflowresumption.cpp
@@ -63,6 +63,7 @@
         .field("last_event", m_traits.lastEventId.substr(0, MAX_LOGGED_ID))
         .field("outcome", outcome)
         .field("source", source)
+        .field("version", versionText(version.value_or(0)))
         .field("asked_ms", toMilliseconds(m_gateway.loop().now() - m_request.readAt));
     if (!version) {
         refuse(GatewayRefusal::StreamUnknown);
--- a/src/gateway/requestflowsending.cpp
+++ b/src/gateway/requestflowsending.cpp
@@ -290,6 +290,8 @@
         LogEvent("request_resent")
             .field("request", m_traits.attemptId)
             .field("endpoint", m_endpoint.id)
+            .field("endpoint_version", m_endpoint.version)
+            .field("incarnation", m_incarnation)
             .field("send", m_sends)
             .field("last_event", m_lastEventId);
     }
--- a/src/gateway/streamorigin.cpp
+++ b/src/gateway/streamorigin.cpp
@@ -6,9 +6,18 @@
 #include "endpointdirectory.h"
 #include "rendezvoushash.h"
 
+#include <Poco/NumberFormatter.h>
+
 namespace Cyclamenturn
 {
 
+namespace
+{
+
+constexpr int VERSION_TEXT_DIGITS = 16;
+
+}
+
 StreamKey streamKey(
     const std::string &attemptId, const std::string &callerKey, const std::string &host, std::string_view path)
 {
@@ -25,4 +34,9 @@
     return contentHash(endpoint.version, serviceKey(endpoint.service));
 }
 
+std::string versionText(VersionKey version)
+{
+    return Poco::NumberFormatter::formatHex(static_cast<Poco::UInt64>(version), VERSION_TEXT_DIGITS);
+}
+
 }
--- a/src/gateway/streamorigin.h
+++ b/src/gateway/streamorigin.h
@@ -28,6 +28,8 @@
     const std::string &attemptId, const std::string &callerKey, const std::string &host, std::string_view path);
 ServiceKey serviceKey(const std::string &service);
 VersionKey versionKey(const EndpointRecord &endpoint);
+/** The key as log lines show it. */
+std::string versionText(VersionKey version);
 
 /** Tells that endpoints of this version began the stream. */
 struct StreamOrigin
