--- a/test/error/processes_streams.py
+++ b/test/error/processes_streams.py
@@ -239,6 +239,82 @@
     with_fleet(test, versions=("v1", "v1"))
 
 
+def versions_of(results):
+    return [versions for _, versions, *_ in results]
+
+
+# The list shows the former version, and the stream went on there as it broke off.
+def streams_that_begin_at_an_endpoint_that_was_replaced_in_place_hold_events_of_one_version():
+    def test(fleet):
+        fleet.engines[0].replace_in_place("v2")
+        connection_breaks(fleet.engines[:1], 2)
+        results = [fleet.open() for _ in range(40)]
+        mixed = [versions for versions in versions_of(results) if len(set(versions)) > 1]
+        whole = sum(status == 200 and is_whole for status, _, is_whole, *_ in results)
+        assert not mixed, (len(mixed), mixed[0])
+        assert whole >= 38, f"{whole} of {len(results)} streams are whole"
+    with_fleet(test, versions=("v1",) * 4)
+
+
+def begin_unlisted(fleet, gateway=0):
+    """Replaces the only endpoint in place, lets a stream begin there, and adds one of the former version; returns the
+    attempt of the stream."""
+    fleet.engines[0].replace_in_place("v2")
+    attempt, version = fleet.begin_broken(gateway)
+    assert version == "v2", version
+    fleet.engines.append(Engine(fleet.store, "i-9", "v1"))
+    time.sleep(0.6)
+    return attempt
+
+
+# Its origin was noted as the version that the list showed.
+def a_stream_that_began_at_a_replaced_endpoint_goes_on_at_its_version_alone_when_it_is_taken_up():
+    def test(fleet):
+        attempt = begin_unlisted(fleet)
+        for gateway in (0, 1, 2):
+            status, versions, _, _, _, _ = fleet.open(gateway, Last_Event_Id="1", Resumes=attempt)
+            assert set(versions) <= {"v2"}, (gateway, status, versions)
+        fleet.engines[0].register()
+        time.sleep(0.6)
+        check_taken_up(fleet, 1, [(attempt, "v2")])
+        check_taken_up(fleet, 0, [(attempt, "v2")])
+    with_fleet(test, versions=("v1",), gateways=3)
+
+
+# The endpoint ends before it has written its entry, so no list shows the version ever.
+def a_stream_that_began_at_an_endpoint_that_was_never_listed_does_not_go_on_at_the_former_version():
+    def test(fleet):
+        # As long as a stream may last, and the list may lag.
+        time.sleep(ROUTES[0]["timeout_ms"] / 1000 + 3.0)
+        attempt = begin_unlisted(fleet)
+        fleet.engines[0].replace_in_place("v1")
+        for gateway in (0, 1, 2):
+            for headers in ({"Last_Event_Id": "1", "Resumes": attempt}, {"Last_Event_Id": "1"}):
+                status, versions, _, _, _, body = fleet.open(gateway, **headers)
+                assert status == 503, (gateway, headers, status, versions, body)
+        status, versions, is_whole, _, _, _ = fleet.open(1)
+        assert status == 200 and is_whole, (status, versions)
+    with_fleet(test, versions=("v1",), gateways=3)
+
+
+# An entry of the former incarnation reaches the store after that of the next one.
+def a_stream_that_begins_while_the_list_shows_a_former_entry_goes_on_at_its_version():
+    def test(fleet):
+        replaced = fleet.engines[0]
+        former = {**replaced.registration(), "version": "v1"}
+        replaced.replace_in_place("v2")
+        replaced.register()
+        fleet.engines.append(Engine(fleet.store, "i-8", "v2"))
+        time.sleep(0.6)
+        fleet.store.put(f"servers/{replaced.name}", former)
+        time.sleep(0.6)
+        begun = [fleet.begin_broken(gateway=i % 2) for i in range(30)]
+        assert {version for _, version in begun} == {"v1", "v2"}, begun
+        check_taken_up(fleet, 0, begun)
+        check_taken_up(fleet, 1, begun)
+    with_fleet(test, versions=("v1", "v1"), gateways=2)
+
+
 # Each stream that was taken up made a call of its own to a store that had just failed.
 def a_store_that_fails_at_once_is_not_called_for_each_stream_that_is_taken_up():
     def list_reads(gateway):
@@ -304,5 +380,5 @@
 
 if __name__ == "__main__":
     sys.exit(run_tests(("Engine", "Fleet", "with_fleet", "connection_breaks", "begin_and_leave", "check_taken_up", "stop",
-                        "begin_at_new_version_behind_the_back_of"),
+                        "versions_of", "begin_unlisted", "begin_at_new_version_behind_the_back_of"),
                        sys.argv[2:]))
