A stream begins only at an endpoint that states the incarnation of its entry

Callers received streams with events of two software versions, within one response and over their tries.

Cause: an endpoint's version was that of its entry in the list, found by its id and address. An endpoint that started again under both, with another version, was noted as the former one until its next entry had been written and read, so a stream that broke there went on at the former version. Entries that come late, or never, did the same.

Now the incarnation is a property of the connection: it ends with its process, so the endpoint is asked once on each connection that a stream uses (EndpointConnection, IncarnationCheck), and what it states counts more than the list (Incarnations). An incarnation that isn't listed has no version yet. It gets new streams when others cost more; their origin names the incarnation, so that they go on at that process, or at its version once the list shows it. The other gateways are told, as the service has no sole version meanwhile. Before a stream is refused as its version is gone, the list is read once more.

--- a/src/gateway/connectionpool.cpp
+++ b/src/gateway/connectionpool.cpp
@@ -41,13 +41,14 @@
     m_unexpectedData(endpointId);
 }
 
-std::unique_ptr<HttpClientConnection> ConnectionPool::acquire(const EndpointRecord &record, int limit)
+std::unique_ptr<EndpointConnection> ConnectionPool::acquire(const EndpointRecord &record, int limit)
 {
     Endpoint &endpoint = m_endpoints[record.id];
     while (!endpoint.idle.empty()) {
         IdleConnection idle = std::move(endpoint.idle.back());
         endpoint.idle.pop_back();
-        if (!idle.connection->isUnusable() && m_loop.now() < idle.expiresAt) {
+        const bool isOther = !idle.connection->mayBe(record.startedAtMs);
+        if (!isOther && !idle.connection->isUnusable() && m_loop.now() < idle.expiresAt) {
             return std::move(idle.connection);
         }
         --endpoint.open;
@@ -57,11 +58,11 @@
     }
     ++endpoint.open;
     ++m_opened;
-    return std::make_unique<HttpClientConnection>(m_loop, record.address, RESPONSE_LIMITS, CONNECT_TIMEOUT);
+    return std::make_unique<EndpointConnection>(m_loop, record.address, RESPONSE_LIMITS, CONNECT_TIMEOUT);
 }
 
 void ConnectionPool::release(
-    const std::string &endpointId, std::unique_ptr<HttpClientConnection> connection, Duration idleTimeout)
+    const std::string &endpointId, std::unique_ptr<EndpointConnection> connection, Duration idleTimeout)
 {
     Endpoint &endpoint = m_endpoints[endpointId];
     if (idleTimeout <= IDLE_MARGIN) {
@@ -97,6 +98,19 @@
     }
 }
 
+void ConnectionPool::closeFormerConnections(const EndpointRecord &endpoint)
+{
+    const auto found = m_endpoints.find(endpoint.id);
+    if (found == m_endpoints.end()) {
+        return;
+    }
+    auto &idle = found->second.idle;
+    const auto former = std::remove_if(idle.begin(), idle.end(),
+        [&endpoint](const auto &item) { return item.connection->startedAtMs() != endpoint.startedAtMs; });
+    found->second.open -= static_cast<int>(std::distance(former, idle.end()));
+    idle.erase(former, idle.end());
+}
+
 void ConnectionPool::expire(TimePoint now)
 {
     for (auto it = m_endpoints.begin(); it != m_endpoints.end();) {
--- a/src/gateway/connectionpool.h
+++ b/src/gateway/connectionpool.h
@@ -3,10 +3,9 @@
  */
 #pragma once
 
+#include "endpointconnection.h"
 #include "endpointdirectory.h"
 
-#include "transport/httpclientconnection.h"
-
 #include <deque>
 #include <map>
 #include <memory>
@@ -18,19 +17,26 @@
 class ConnectionPool
 {
 public:
+    /** How long an idle connection is kept when the endpoint doesn't state a keep-alive time. */
+    static constexpr Duration DEFAULT_IDLE_TIMEOUT = milliseconds(2500);
+
     /** `unexpectedData` is called with the id of an endpoint that sent bytes without a request, after the connection
      * was closed. */
     ConnectionPool(EventLoop &loop, std::function<void(const std::string &endpointId)> unexpectedData);
 
-    /** Returns an idle connection or a new one; null when `limit` connections to the endpoint are already open. */
-    std::unique_ptr<HttpClientConnection> acquire(const EndpointRecord &endpoint, int limit);
+    /** Returns an idle connection or a new one; null when `limit` connections to the endpoint are already open. An idle
+     * one is to this incarnation, as far as the endpoint has stated one over it. */
+    std::unique_ptr<EndpointConnection> acquire(const EndpointRecord &endpoint, int limit);
     /** Returns a connection to the pool after a complete response. `idleTimeout` is how long the endpoint keeps it open
      * while it is idle. */
-    void release(const std::string &endpointId, std::unique_ptr<HttpClientConnection> connection, Duration idleTimeout);
+    void release(const std::string &endpointId, std::unique_ptr<EndpointConnection> connection, Duration idleTimeout);
     /** Counts an acquired connection as closed; the caller has destroyed it. */
     void releaseClosed(const std::string &endpointId);
-    /** Closes the idle connections to an endpoint that is leaving, gone or restarted. */
+    /** Closes the idle connections to an endpoint that is leaving or gone. */
     void closeIdleConnections(const std::string &endpointId);
+    /** Closes the idle connections to an endpoint that has restarted, but for those over which it has stated that it is
+     * this incarnation. */
+    void closeFormerConnections(const EndpointRecord &endpoint);
     /** Closes the idle connections whose time has expired or that were lost. */
     void expire(TimePoint now);
     /** Total number of connections opened. */
@@ -42,7 +48,7 @@
 private:
     struct IdleConnection
     {
-        std::unique_ptr<HttpClientConnection> connection;
+        std::unique_ptr<EndpointConnection> connection;
         TimePoint expiresAt;
     };
     struct Endpoint
--- a/src/gateway/endpointdirectory.h
+++ b/src/gateway/endpointdirectory.h
@@ -34,12 +34,14 @@
     bool isLeaving = false;
     /** Unix time of the incarnation's start; a different value shows a restart under the same id. */
     std::int64_t startedAtMs = 0;
+    /** False for an incarnation that has stated itself and wasn't listed yet. */
+    bool isVersionKnown = true;
 
     bool operator==(const EndpointRecord &other) const
     {
-        return std::tie(id, service, address, failureDomain, version, slots, isLeaving, startedAtMs)
+        return std::tie(id, service, address, failureDomain, version, slots, isLeaving, startedAtMs, isVersionKnown)
             == std::tie(other.id, other.service, other.address, other.failureDomain, other.version, other.slots,
-                other.isLeaving, other.startedAtMs);
+                other.isLeaving, other.startedAtMs, other.isVersionKnown);
     }
     /** A short name that differs between incarnations, also under the same id. */
     std::string incarnationName() const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -100,9 +100,18 @@
     return m_versions.soleVersion(service, span, m_loop.now());
 }
 
-void Gateway::refreshList()
+void Gateway::refreshList(std::function<void(bool isRead)> handler)
 {
-    m_store.readListFor([](bool) {});
+    m_store.readListFor(std::move(handler));
+}
+
+void Gateway::noteUnlistedUse(const EndpointRecord &endpoint)
+{
+    const UnlistedIncarnation notice{serviceKey(endpoint.service), incarnationKey(endpoint)};
+    if (m_versions.noteUnlisted(notice, m_loop.now())) {
+        m_peerLink.broadcast(encodeUnlistedIncarnation(notice));
+        m_metrics.count("cyclamenturn_unlisted_incarnations", {{"from", "response"}});
+    }
 }
 
 void Gateway::readList(std::function<void(bool isRead)> handler)
@@ -332,6 +341,8 @@
     m_permits.expire();
     m_statements.expire(m_endpoints, now);
     m_streams.expire();
+    m_incarnations.expire(now);
+    m_metrics.set("cyclamenturn_endpoints_not_as_listed", {}, static_cast<double>(m_incarnations.statedCount()));
     reportPeers();
     m_metrics.set("cyclamenturn_response_memory_bytes", {}, static_cast<double>(m_responseMemory.used()));
     for (const auto &[kind, calls] : m_store.calls()) {
@@ -409,6 +420,7 @@
     const bool wasReady = isReady();
     const std::vector<EndpointRecord> records = m_list.records();
     m_versions.update(records, m_loop.now());
+    m_incarnations.noteListed(records, m_loop.now());
     for (const auto &change : m_endpoints.apply(records, m_list.revision(), m_loop.now())) {
         const std::string &id = change.record.id;
         switch (change.kind) {
@@ -420,7 +432,7 @@
             m_quarantine.noteEndpointEnded(change.previous.incarnationName(), m_loop.now());
             m_parts.quarantine().noteEndpointEnded(change.previous.incarnationName(), m_loop.now());
             m_permits.forget(change.previous.incarnationName());
-            m_pool.closeIdleConnections(id);
+            m_pool.closeFormerConnections(m_incarnations.current(change.record));
             m_statistics.erase(id);
             break;
         case EndpointChange::Kind::Leaving:
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "endpointstatistics.h"
 #include "estimatecorrection.h"
 #include "gatewaysettings.h"
+#include "incarnations.h"
 #include "intakepolicy.h"
 #include "listedversions.h"
 #include "messagecodec.h"
@@ -78,6 +79,10 @@
     {
         return m_endpoints;
     }
+    Incarnations &incarnations()
+    {
+        return m_incarnations;
+    }
     const StoreLink &store() const
     {
         return m_store;
@@ -163,8 +168,12 @@
     /** Returns a uniformly distributed random number in [0, 1). */
     double randomFraction();
 
-    /** Reads the list of endpoints soon, as an endpoint was found to differ from it. */
-    void refreshList();
+    /** Reads the list of endpoints soon, as an endpoint was found to differ from it. Calls `handler` once with whether
+     * the read has succeeded. */
+    void refreshList(std::function<void(bool isRead)> handler);
+    /** Makes it known that a request is sent to an endpoint whose version isn't known: its service may have more
+     * versions than the list shows. */
+    void noteUnlistedUse(const EndpointRecord &endpoint);
     /** Whether this process has just started and is still reading the configuration and the list of endpoints. */
     bool awaitsFirstConfiguration() const;
     /** Resumes the flow once this process is ready, or 500 ms after its start at the latest. */
@@ -197,6 +206,7 @@
     void streamOriginsAsked(const StreamOriginsQuestion &question, const Address &from) override;
     void stopNoticeReceived(const StopNotice &notice) override;
     void streamOriginsReceived(const std::vector<AgedOrigin> &origins) override;
+    void unlistedIncarnationReceived(const UnlistedIncarnation &notice) override;
 
     void handleCaller(const HttpServerConnectionPtr &connection, ReceivedRequest request);
     HttpResponseHead handleRejection(const RejectedRequest &request);
@@ -228,6 +238,7 @@
     RoutingConfigurationPtr m_configuration;
     EndpointList m_list;
     EndpointDirectory m_endpoints;
+    Incarnations m_incarnations;
     /** EndpointList::generation() of the list in m_endpoints. */
     std::uint64_t m_appliedList = 0;
     /** By endpoint id. Entries of endpoints that are gone or have restarted are removed. */
--- a/src/gateway/gatewaypeers.cpp
+++ b/src/gateway/gatewaypeers.cpp
@@ -91,6 +91,14 @@
     m_streams.originsReceived(origins);
 }
 
+void Gateway::unlistedIncarnationReceived(const UnlistedIncarnation &notice)
+{
+    const bool isListedHere = m_incarnations.versionOf(notice.incarnation) != notice.incarnation;
+    if (!isListedHere && m_versions.noteUnlisted(notice, m_loop.now())) {
+        m_metrics.count("cyclamenturn_unlisted_incarnations", {{"from", "peer"}});
+    }
+}
+
 void Gateway::digestReceived(const PeerDigest &digest)
 {
     m_permits.noteHeard(digest.name);
--- a/src/gateway/incarnationcheck.cpp
+++ b/src/gateway/incarnationcheck.cpp
@@ -19,7 +19,7 @@
 }
 
 IncarnationCheck::IncarnationCheck(EventLoop &loop, const MessageCodec &messages, EndpointRecord expected,
-    std::unique_ptr<HttpClientConnection> connection, Handler handler)
+    std::unique_ptr<EndpointConnection> connection, Handler handler)
     : m_loop(loop)
     , m_messages(messages)
     , m_expected(std::move(expected))
@@ -56,7 +56,7 @@
     }
 }
 
-IncarnationCheck::Result IncarnationCheck::judge() const
+IncarnationCheck::Result IncarnationCheck::judge()
 {
     if (m_status == NOT_FOUND) {
         return Result::NotStated;
@@ -65,17 +65,23 @@
     if (!startedAt) {
         return Result::Failed;
     }
-    return *startedAt == m_expected.startedAtMs ? Result::Same : Result::Other;
+    m_statedStartMs = *startedAt;
+    return m_statedStartMs == m_expected.startedAtMs ? Result::Same : Result::Other;
 }
 
 void IncarnationCheck::exchangeDone(bool isReusable)
 {
-    const Result result = judge();
-    finish(isReusable || result == Result::Other ? result : Result::Failed);
+    if (!isReusable) {
+        m_connection.reset();
+    }
+    finish(judge());
 }
 
-void IncarnationCheck::exchangeFailed(ExchangeFailure)
+void IncarnationCheck::exchangeFailed(ExchangeFailure failure)
 {
+    if (failure == ExchangeFailure::Refused || failure == ExchangeFailure::NotConnected) {
+        m_connectFailure = failure;
+    }
     finish(Result::Failed);
 }
 
--- a/src/gateway/peerdatagram.h
+++ b/src/gateway/peerdatagram.h
@@ -28,6 +28,7 @@
     StreamOriginsQuestion = 13,
     StreamOrigins = 14,
     StopNotice = 15,
+    UnlistedIncarnation = 16,
 };
 
 /** Size of the largest datagram that is sent or received. */
--- a/src/gateway/peerlink.cpp
+++ b/src/gateway/peerlink.cpp
@@ -131,6 +131,11 @@
             m_listener.streamOriginsReceived(*origins);
         }
         return true;
+    case DatagramKind::UnlistedIncarnation:
+        if (const auto notice = decodeUnlistedIncarnation(bytes); notice && m_view.isKnown(sender)) {
+            m_listener.unlistedIncarnationReceived(*notice);
+        }
+        return true;
     default:
         return false;
     }
--- a/src/gateway/peerlink.h
+++ b/src/gateway/peerlink.h
@@ -37,6 +37,7 @@
     virtual void streamOriginsAsked(const StreamOriginsQuestion &question, const Address &from) = 0;
     virtual void stopNoticeReceived(const StopNotice &notice) = 0;
     virtual void streamOriginsReceived(const std::vector<AgedOrigin> &origins) = 0;
+    virtual void unlistedIncarnationReceived(const UnlistedIncarnation &notice) = 0;
 };
 
 class PeerLink : private SocketHandler
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -129,6 +129,7 @@
     }
     cost *= 1 + m_policy.slownessWeight * (statistics.slowness() - 1);
     cost += statistics.failureShare(now) * m_policy.failureCostMs;
+    cost += candidate.record->isVersionKnown ? 0 : m_policy.unknownVersionCostMs;
     return candidate.record->failureDomain == m_ownFailureDomain ? cost : cost + m_policy.crossDomainCostMs;
 }
 
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -66,6 +66,8 @@
     double prefillWeight = 40;
     /** Weight of an endpoint's measured slowness; 0 ignores it. */
     double slownessWeight = 0;
+    /** Cost of an endpoint whose version isn't known yet: a stream that breaks off there can't go on until it is. */
+    double unknownVersionCostMs = 600;
     /** Cost of an endpoint in another failure domain. Links between domains are slower and more expensive. */
     double crossDomainCostMs = 3;
     /** Cost of an endpoint that is assigned to the other kind of workload; see WorkloadSplit. */
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -17,8 +17,6 @@
 constexpr int UNAVAILABLE = 503;
 /** Assumed caller timeout for requests that don't state one. */
 constexpr Duration DEFAULT_CALLER_TIMEOUT = milliseconds(30000);
-/** How long an idle connection is kept when the endpoint doesn't state a keep-alive time. */
-constexpr Duration DEFAULT_IDLE_TIMEOUT = milliseconds(2500);
 /** The endpoint of a stream counts as lost when it has sent nothing for this many times the route's event gap, or the
  * route's objective before the first event. */
 constexpr int EVENT_GAPS_UNTIL_LOST = 3;
@@ -42,6 +40,7 @@
     m_gateway.loop().cancel(m_deadlineTimer);
     m_gateway.loop().cancel(m_responseTimer);
     m_gateway.loop().cancel(m_permitTimer);
+    m_gateway.loop().cancel(m_listTimer);
     clearResponseBody();
 }
 
@@ -219,14 +218,15 @@
     }
     statistics.noteEnded();
     // Meanwhile the endpoint may have been replaced under its id, and the old incarnation may serve for a while.
-    const EndpointRecord *current = m_gateway.endpoints().find(m_endpoint.id);
-    const bool isCurrent = current != nullptr && current->isSameIncarnation(m_endpoint);
+    const EndpointRecord *listed = m_gateway.endpoints().find(m_endpoint.id);
+    const bool isCurrent
+        = listed != nullptr && m_gateway.incarnations().current(*listed).isSameIncarnation(m_endpoint);
     if (isReusable && !isCurrent) {
         m_gateway.metrics().count("cyclamenturn_outdated_connections_closed");
     }
     if (isReusable && isCurrent) {
         m_gateway.pool().release(
-            m_endpoint.id, std::move(m_connection), m_responseTraits.keepAlive.value_or(DEFAULT_IDLE_TIMEOUT));
+            m_endpoint.id, std::move(m_connection), m_responseTraits.keepAlive.value_or(ConnectionPool::DEFAULT_IDLE_TIMEOUT));
     } else {
         m_connection.reset();
         m_gateway.pool().releaseClosed(m_endpoint.id);
@@ -357,6 +357,7 @@
     m_finished = true;
     m_gateway.loop().cancel(m_deadlineTimer);
     m_gateway.loop().cancel(m_permitTimer);
+    m_gateway.loop().cancel(m_listTimer);
     cancelCheck();
     if (m_isDemandCounted) {
         m_gateway.placement().noteEnded(*m_traits.prompt);
--- a/src/gateway/requestflow.h
+++ b/src/gateway/requestflow.h
@@ -6,6 +6,7 @@
 #include "admitrequest.h"
 #include "callerresponse.h"
 #include "crashwitness.h"
+#include "endpointconnection.h"
 #include "endpointlimit.h"
 #include "eventsplitter.h"
 #include "incarnationcheck.h"
@@ -14,8 +15,6 @@
 #include "resendpolicy.h"
 #include "streamorigin.h"
 
-#include "transport/httpclientconnection.h"
-
 #include <memory>
 #include <optional>
 #include <set>
@@ -62,6 +61,14 @@
     void noteStreamBegun();
     /** Whether an endpoint of the version that began the stream is usable. */
     bool hasVersion(const std::string &service) const;
+    /** Whether the endpoint is of the version that began the stream; true if none has. */
+    bool isOfVersion(const EndpointRecord &endpoint) const;
+    /** Changes to a service of the route that has endpoints of the version, if there is one. */
+    void selectServiceOfVersion();
+    /** Reads the list once, as it shows no endpoint of the version. Returns false if that was done or would be in
+     * vain. */
+    bool awaitList();
+    void listAwaited();
     void sendToEndpoint();
     /** The usable endpoints of the service that haven't been tried. */
     std::vector<PlacementCandidate> candidates();
@@ -74,17 +81,23 @@
     /** Asks for a permit that the request waits for, at the endpoint that is expected to have one first. Returns false
      * if no endpoint has a limit. */
     bool waitForPermit();
-    /** Sends the stream on if the endpoint is still the incarnation that the list shows, or else elsewhere. */
-    void checkIncarnation(const Placement &placement, std::unique_ptr<HttpClientConnection> connection);
+    /** Whether the stream's version counts, so that the endpoint has to state its incarnation. */
+    bool needsIncarnation(const EndpointRecord &endpoint) const;
+    /** Sends the stream to the endpoint if it is the incarnation that it is taken for, or else elsewhere. */
+    void checkIncarnation(const Placement &placement, std::unique_ptr<EndpointConnection> connection);
     void incarnationChecked(
-        Placement placement, IncarnationCheck::Result result, std::unique_ptr<HttpClientConnection> connection);
+        Placement placement, IncarnationCheck::Result result, std::unique_ptr<EndpointConnection> connection);
+    /** Notes and logs an incarnation that wasn't confirmed. */
+    void otherIncarnationFound(const IncarnationCheck &check, IncarnationCheck::Result result);
     /** Ends a check in progress and closes its connection. */
     void cancelCheck();
     void permitDecided(const PermitDecision &decision);
     void sendWithPermit();
     /** Refuses the request and returns true when its first event is expected too late to be of use. */
     bool refuseIfOverloaded(const Placement &placement);
-    void startAttempt(const Placement &placement, std::unique_ptr<HttpClientConnection> connection);
+    /** Notes an attempt over this connection, without sending the request. */
+    void beginAttempt(const Placement &placement, std::unique_ptr<EndpointConnection> connection);
+    void startAttempt(const Placement &placement, std::unique_ptr<EndpointConnection> connection);
     void startResponseTimer(Duration wait);
     void responseTimedOut();
     void deadlineReached();
@@ -151,9 +164,9 @@
     EventLoop::Timer m_deadlineTimer;
 
     /** Connection of the attempt in progress; null between attempts. */
-    std::unique_ptr<HttpClientConnection> m_connection;
+    std::unique_ptr<EndpointConnection> m_connection;
     EndpointRecord m_endpoint;
-    /** Runs while a stream is to go on at an endpoint that hasn't stated its incarnation yet. */
+    /** Runs while a stream is to be sent to an endpoint that hasn't stated its incarnation over the connection. */
     std::unique_ptr<IncarnationCheck> m_check;
     /** EndpointRecord::incarnationName() of m_endpoint. */
     std::string m_incarnation;
@@ -168,12 +181,18 @@
 
     /** Ids of the endpoints tried so far. */
     std::set<std::string> m_triedEndpoints;
+    /** Ids of the endpoints whose incarnation wasn't the expected one. */
+    std::set<std::string> m_checkedEndpoints;
     /** Number of attempts, without those that are known not to have reached the endpoint. */
     int m_sends = 0;
     /** Whether an endpoint may have run the request. */
     bool m_mayHaveRun = false;
     /** The version that began the stream; endpoints of others can't go on with it. */
     std::optional<VersionKey> m_version;
+    /** Ends the wait for a read of the list that may show an endpoint of the version. */
+    EventLoop::Timer m_listTimer;
+    bool m_isListAwaited = false;
+    bool m_wasListAwaited = false;
     EventSplitter m_splitter;
     std::string m_lastEventId;
     /** Id of the endpoint for which a permit was asked. */
--- a/src/gateway/requestflowsending.cpp
+++ b/src/gateway/requestflowsending.cpp
@@ -28,12 +28,11 @@
 {
     std::vector<PlacementCandidate> out;
     const TimePoint now = m_gateway.loop().now();
-    for (const EndpointRecord *record : m_gateway.endpoints().usable(m_service)) {
-        const bool isOtherVersion = m_version && versionKey(*record) != *m_version;
-        if (!isOtherVersion && m_triedEndpoints.count(record->id) == 0
-            && m_gateway.statements().accepts(*record, now)) {
-            out.push_back(
-                {record, &m_gateway.statistics(record->id), m_gateway.peers().loadAt(endpointHash(record->id))});
+    for (const EndpointRecord *listed : m_gateway.endpoints().usable(m_service)) {
+        const EndpointRecord &record = m_gateway.incarnations().current(*listed);
+        if (isOfVersion(record) && m_triedEndpoints.count(record.id) == 0
+            && m_gateway.statements().accepts(record, now)) {
+            out.push_back({&record, &m_gateway.statistics(record.id), m_gateway.peers().loadAt(endpointHash(record.id))});
         }
     }
     return out;
@@ -45,7 +44,9 @@
         return;
     }
     if (m_version && !hasVersion(m_service)) {
-        giveUp(AttemptOutcome::NotSent, GatewayRefusal::StreamVersionGone);
+        if (!awaitList()) {
+            giveUp(AttemptOutcome::NotSent, GatewayRefusal::StreamVersionGone);
+        }
         return;
     }
     const TimePoint now = m_gateway.loop().now();
@@ -123,11 +124,12 @@
 {
     const TimePoint now = m_gateway.loop().now();
     std::optional<TimePoint> out;
-    for (const EndpointRecord *record : m_gateway.endpoints().usable(m_service)) {
-        if (m_gateway.statements().accepts(*record, now)) {
+    for (const EndpointRecord *listed : m_gateway.endpoints().usable(m_service)) {
+        const EndpointRecord &record = m_gateway.incarnations().current(*listed);
+        if (m_gateway.statements().accepts(record, now)) {
             return std::nullopt;
         }
-        const auto until = m_gateway.statements().pausedUntil(*record, now);
+        const auto until = m_gateway.statements().pausedUntil(record, now);
         if (until && (!out || *until < *out)) {
             out = until;
         }
@@ -141,7 +143,7 @@
     if (!connection) {
         return false;
     }
-    if (m_version && placement.endpoint->startedAtMs != 0) {
+    if (needsIncarnation(*placement.endpoint) && !connection->startedAtMs()) {
         checkIncarnation(placement, std::move(connection));
     } else {
         startAttempt(placement, std::move(connection));
@@ -254,7 +256,7 @@
     return true;
 }
 
-void RequestFlow::startAttempt(const Placement &placement, std::unique_ptr<HttpClientConnection> connection)
+void RequestFlow::beginAttempt(const Placement &placement, std::unique_ptr<EndpointConnection> connection)
 {
     const TimePoint now = m_gateway.loop().now();
     m_placement = placement;
@@ -274,6 +276,14 @@
     if (m_traits.prompt) {
         statistics.noteCached(*m_traits.prompt, now);
     }
+}
+
+void RequestFlow::startAttempt(const Placement &placement, std::unique_ptr<EndpointConnection> connection)
+{
+    beginAttempt(placement, std::move(connection));
+    if (!m_endpoint.isVersionKnown) {
+        m_gateway.noteUnlistedUse(m_endpoint);
+    }
     ForwardTraits traits;
     traits.endpointId = m_endpoint.id;
     traits.timeLeft = timeLeft();
--- a/src/gateway/storelink.h
+++ b/src/gateway/storelink.h
@@ -65,6 +65,11 @@
     {
         return m_selection.latestRevision().value_or(StoreRevision());
     }
+    /** Whether the latest read of the list has succeeded. */
+    bool isListAvailable() const
+    {
+        return !m_hasListReadFailed;
+    }
     /** Whether the store has returned a configuration that isn't decoded yet. */
     bool isDecoding() const
     {
--- a/src/gateway/streammessages.cpp
+++ b/src/gateway/streammessages.cpp
@@ -56,12 +56,28 @@
     });
 }
 
+std::string encodeKeys(DatagramKind kind, std::uint64_t first, std::uint64_t second)
+{
+    return encode(
+        kind, [first, second](Poco::BinaryWriter &out) { out << Poco::UInt64(first) << Poco::UInt64(second); });
+}
+
+template<typename Message>
+std::optional<Message> decodeKeys(const std::string &bytes, DatagramKind kind)
+{
+    return decode<Message>(bytes, kind, [](Poco::BinaryReader &in, Message &out) {
+        Poco::UInt64 first = 0;
+        Poco::UInt64 second = 0;
+        in >> first >> second;
+        out = {first, second};
+    });
+}
+
 }
 
 std::string encodeStreamNote(const StreamOrigin &origin)
 {
-    return encode(DatagramKind::StreamNote,
-        [&origin](Poco::BinaryWriter &out) { out << Poco::UInt64(origin.stream) << Poco::UInt64(origin.version); });
+    return encodeKeys(DatagramKind::StreamNote, origin.stream, origin.version);
 }
 
 std::string encodeStreamQuestion(const StreamQuestion &question)
@@ -82,12 +98,7 @@
 
 std::optional<StreamOrigin> decodeStreamNote(const std::string &bytes)
 {
-    return decode<StreamOrigin>(bytes, DatagramKind::StreamNote, [](Poco::BinaryReader &in, StreamOrigin &out) {
-        Poco::UInt64 stream = 0;
-        Poco::UInt64 version = 0;
-        in >> stream >> version;
-        out = {stream, version};
-    });
+    return decodeKeys<StreamOrigin>(bytes, DatagramKind::StreamNote);
 }
 
 std::optional<StreamQuestion> decodeStreamQuestion(const std::string &bytes)
@@ -135,6 +146,16 @@
     return decodeGateway<StopNotice>(bytes, DatagramKind::StopNotice);
 }
 
+std::string encodeUnlistedIncarnation(const UnlistedIncarnation &notice)
+{
+    return encodeKeys(DatagramKind::UnlistedIncarnation, notice.service, notice.incarnation);
+}
+
+std::optional<UnlistedIncarnation> decodeUnlistedIncarnation(const std::string &bytes)
+{
+    return decodeKeys<UnlistedIncarnation>(bytes, DatagramKind::UnlistedIncarnation);
+}
+
 std::string encodeStreamOrigins(const std::vector<AgedOrigin> &origins)
 {
     return encode(DatagramKind::StreamOrigins, [&origins](Poco::BinaryWriter &out) {
--- a/src/gateway/streammessages.h
+++ b/src/gateway/streammessages.h
@@ -49,6 +49,14 @@
     std::uint32_t gateway = 0;
 };
 
+/** Tells that requests are sent to an incarnation of an endpoint that the list didn't show yet. */
+struct UnlistedIncarnation
+{
+    ServiceKey service = 0;
+    /** incarnationKey() */
+    VersionKey incarnation = 0;
+};
+
 /** Origins in one datagram, which stays within the packet size of Ethernet. */
 constexpr std::size_t MAX_ORIGINS_IN_DATAGRAM = 75;
 
@@ -58,6 +66,7 @@
 std::string encodeStreamAnswer(const StreamAnswer &answer);
 std::string encodeStreamOriginsQuestion(const StreamOriginsQuestion &question);
 std::string encodeStopNotice(const StopNotice &notice);
+std::string encodeUnlistedIncarnation(const UnlistedIncarnation &notice);
 /** Takes MAX_ORIGINS_IN_DATAGRAM at most. */
 std::string encodeStreamOrigins(const std::vector<AgedOrigin> &origins);
 /** Parse a message. Return nothing if the bytes aren't a complete message of this kind. */
@@ -66,6 +75,7 @@
 std::optional<StreamAnswer> decodeStreamAnswer(const std::string &bytes);
 std::optional<StreamOriginsQuestion> decodeStreamOriginsQuestion(const std::string &bytes);
 std::optional<StopNotice> decodeStopNotice(const std::string &bytes);
+std::optional<UnlistedIncarnation> decodeUnlistedIncarnation(const std::string &bytes);
 std::optional<std::vector<AgedOrigin>> decodeStreamOrigins(const std::string &bytes);
 
 }
--- a/src/gateway/streamorigin.cpp
+++ b/src/gateway/streamorigin.cpp
@@ -31,7 +31,8 @@
 
 VersionKey versionKey(const EndpointRecord &endpoint)
 {
-    return contentHash(endpoint.version, serviceKey(endpoint.service));
+    return endpoint.isVersionKnown ? contentHash(endpoint.version, serviceKey(endpoint.service))
+                                   : incarnationKey(endpoint);
 }
 
 std::string versionText(VersionKey version)
@@ -39,4 +40,10 @@
     return Poco::NumberFormatter::formatHex(static_cast<Poco::UInt64>(version), VERSION_TEXT_DIGITS);
 }
 
+VersionKey incarnationKey(const EndpointRecord &endpoint)
+{
+    const std::string start = std::to_string(endpoint.startedAtMs);
+    return contentHash(start, contentHash(endpoint.id, serviceKey(endpoint.service)));
+}
+
 }
--- a/src/gateway/streamorigin.h
+++ b/src/gateway/streamorigin.h
@@ -21,15 +21,18 @@
 using StreamKey = std::uint64_t;
 /** Identifies a service. */
 using ServiceKey = std::uint64_t;
-/** Identifies a software version of a service. */
+/** Identifies a software version of a service, or an incarnation whose version isn't known. */
 using VersionKey = std::uint64_t;
 
 StreamKey streamKey(
     const std::string &attemptId, const std::string &callerKey, const std::string &host, std::string_view path);
 ServiceKey serviceKey(const std::string &service);
+/** The version of the endpoint, or incarnationKey() if it isn't known. */
 VersionKey versionKey(const EndpointRecord &endpoint);
 /** The key as log lines show it. */
 std::string versionText(VersionKey version);
+/** Stands for the version of this incarnation alone, so that it equals no other endpoint's. */
+VersionKey incarnationKey(const EndpointRecord &endpoint);
 
 /** Tells that endpoints of this version began the stream. */
 struct StreamOrigin
--- a/src/gateway/versionhistory.cpp
+++ b/src/gateway/versionhistory.cpp
@@ -21,10 +21,22 @@
         }
     }
     for (const EndpointRecord &record : list) {
-        m_listings[serviceKey(record.service)][versionKey(record)].isListed = true;
+        auto &versions = m_listings[serviceKey(record.service)];
+        versions.erase(incarnationKey(record));
+        versions[versionKey(record)].isListed = true;
     }
 }
 
+bool VersionHistory::noteUnlisted(const UnlistedIncarnation &notice, TimePoint now)
+{
+    const auto [found, isNew] = m_listings[notice.service].try_emplace(notice.incarnation);
+    const bool isDue = isNew || now - found->second.listedUntil >= UNLISTED_NOTE_INTERVAL;
+    if (isDue) {
+        found->second.listedUntil = now;
+    }
+    return isDue;
+}
+
 void VersionHistory::confirm(TimePoint now)
 {
     if (!m_since || now - m_readAt > MAX_LIST_AGE) {
--- a/src/gateway/versionhistory.h
+++ b/src/gateway/versionhistory.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "streammessages.h"
 #include "streamorigin.h"
 #include "timepoint.h"
 
@@ -20,8 +21,14 @@
      * longer passed between its reads: an endpoint may come and go in between. */
     static constexpr Duration MAX_LIST_AGE = milliseconds(3000);
 
+    /** How often an incarnation that isn't listed is noted while it serves. */
+    static constexpr Duration UNLISTED_NOTE_INTERVAL = milliseconds(1000);
+
     /** Notes the endpoints that are listed from now on. */
     void update(const std::vector<EndpointRecord> &list, TimePoint now);
+    /** Notes that an incarnation that isn't listed serves. Until it is, or for as long as streams are remembered, it counts
+     * as a version of its own. Returns whether it is the first note of it for a while. */
+    bool noteUnlisted(const UnlistedIncarnation &notice, TimePoint now);
     /** Notes that the list was read and is the same. */
     void confirm(TimePoint now);
     /**
--- a/test/correctness/endpointstatements.cpp
+++ b/test/correctness/endpointstatements.cpp
@@ -57,6 +57,9 @@
     void streamOriginsReceived(const std::vector<AgedOrigin> &) override
     {
     }
+    void unlistedIncarnationReceived(const UnlistedIncarnation &) override
+    {
+    }
 };
 
 struct Fixture
--- a/test/correctness/streamhandover.cpp
+++ b/test/correctness/streamhandover.cpp
@@ -55,6 +55,9 @@
     void streamOriginsReceived(const std::vector<AgedOrigin> &) override
     {
     }
+    void unlistedIncarnationReceived(const UnlistedIncarnation &) override
+    {
+    }
 };
 
 /** A gateway with a table of origins, and the sockets of all other gateways of its fleet. */
--- a/test/correctness/streamorigins.cpp
+++ b/test/correctness/streamorigins.cpp
@@ -208,6 +208,44 @@
     CHECK(sole(13001));
 }
 
+TEST_CASE("a service has no sole version while an incarnation that isn't listed serves")
+{
+    VersionHistory history;
+    EndpointRecord replaced = endpoint("a", "v1");
+    for (int ms = 0; ms <= 20000; ms += 1000) {
+        history.update({replaced}, at(ms));
+    }
+    const ServiceKey service = serviceKey("s");
+    REQUIRE(history.soleVersion(service, milliseconds(15000), at(20000)) == versionKey(replaced));
+    EndpointRecord next = replaced;
+    next.startedAtMs = 5;
+    const UnlistedIncarnation notice{service, incarnationKey(next)};
+    CHECK(history.noteUnlisted(notice, at(20000)));
+    CHECK_FALSE(history.noteUnlisted(notice, at(20500)));
+    CHECK(history.noteUnlisted(notice, at(21000)));
+    CHECK_FALSE(history.soleVersion(service, milliseconds(15000), at(21000)));
+
+    SECTION("until as long has passed as streams may last")
+    {
+        for (int ms = 21000; ms <= 36000; ms += 1000) {
+            history.update({replaced}, at(ms));
+        }
+        CHECK_FALSE(history.soleVersion(service, milliseconds(15000), at(35900)));
+        CHECK(history.soleVersion(service, milliseconds(15000), at(36000)) == versionKey(replaced));
+    }
+    SECTION("or the list shows it to be of the same version")
+    {
+        history.update({next}, at(21500));
+        CHECK(history.soleVersion(service, milliseconds(15000), at(21500)) == versionKey(replaced));
+    }
+    SECTION("or the list shows it to be of another one")
+    {
+        next.version = "v2";
+        history.update({next}, at(21500));
+        CHECK_FALSE(history.soleVersion(service, milliseconds(15000), at(21500)));
+    }
+}
+
 TEST_CASE("messages about streams are the same after encoding and decoding, and cut ones are refused")
 {
     const std::string note = encodeStreamNote({5, 6});
@@ -227,6 +265,11 @@
     CHECK(decodeStreamOriginsQuestion(encodeStreamOriginsQuestion({12}))->gateway == 12);
     CHECK(decodeStopNotice(encodeStopNotice({13}))->gateway == 13);
     CHECK_FALSE(decodeStopNotice(encodeStreamOriginsQuestion({13})));
+    const std::string unlisted = encodeUnlistedIncarnation({14, 15});
+    CHECK(decodeUnlistedIncarnation(unlisted)->service == 14);
+    CHECK(decodeUnlistedIncarnation(unlisted)->incarnation == 15);
+    CHECK_FALSE(decodeUnlistedIncarnation(note));
+    CHECK_FALSE(decodeUnlistedIncarnation(unlisted.substr(0, unlisted.size() - 1)));
     const std::vector<AgedOrigin> origins{{{1, 2}, milliseconds(0)}, {{3, 4}, milliseconds(59999)}};
     const std::string passedOn = encodeStreamOrigins(origins);
     CHECK(decodeStreamOrigins(passedOn) == origins);
--- a/test/fuzz/parsers.cpp
+++ b/test/fuzz/parsers.cpp
@@ -191,6 +191,7 @@
         decodeStreamOriginsQuestion(text);
         decodeStreamOrigins(text);
         decodeStopNotice(text);
+        decodeUnlistedIncarnation(text);
         break;
     case 15:
         splitEvents(text);
