A stream that was broken off takes up nothing but its next events

Callers found the text of an error within their stream, had its beginning twice, or got the stream ended as complete after two of four events, when the next endpoint answered 200 with something else than the rest of the stream.

Cause: a response with status 200 and the type of an event stream was passed on as it came, whether or not it went on after Last-Event-Id. Other kinds of answers were never passed on.

Now the first event of such a response must have an id after the last one (StreamContinuation). Events without an id before it are left out; a repeated id, or an end without any event, counts as a failed attempt, so that the stream goes on elsewhere or is cut. A stream that its caller takes up may still be answered with no events: it may have had all.

--- a/src/gateway/incarnationcheck.h
+++ b/src/gateway/incarnationcheck.h
@@ -1,6 +1,6 @@
 /** \file
- * Asks an endpoint which incarnation it is, over the connection on which a stream is to begin or to go on there. The list
- * may still show the incarnation before, of another version, under the same id and address.
+ * Asks an endpoint which incarnation it is, over the connection on which a stream is to begin or to go on there. The
+ * list may still show the incarnation before, of another version, under the same id and address.
  */
 #pragma once
 
--- a/src/gateway/incarnations.cpp
+++ b/src/gateway/incarnations.cpp
@@ -26,8 +26,7 @@
         Stated &stated = found->second;
         // A former entry that arrives late changes nothing.
         const bool isNewer = record.startedAtMs > stated.listedStartedAtMs;
-        const bool isElsewhere
-            = !(record.address == stated.record.address) || record.service != stated.record.service;
+        const bool isElsewhere = !(record.address == stated.record.address) || record.service != stated.record.service;
         if (isNewer || isElsewhere || record.startedAtMs == stated.record.startedAtMs) {
             m_stated.erase(found);
         } else {
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -219,14 +219,13 @@
     statistics.noteEnded();
     // Meanwhile the endpoint may have been replaced under its id, and the old incarnation may serve for a while.
     const EndpointRecord *listed = m_gateway.endpoints().find(m_endpoint.id);
-    const bool isCurrent
-        = listed != nullptr && m_gateway.incarnations().current(*listed).isSameIncarnation(m_endpoint);
+    const bool isCurrent = listed != nullptr && m_gateway.incarnations().current(*listed).isSameIncarnation(m_endpoint);
     if (isReusable && !isCurrent) {
         m_gateway.metrics().count("cyclamenturn_outdated_connections_closed");
     }
     if (isReusable && isCurrent) {
-        m_gateway.pool().release(
-            m_endpoint.id, std::move(m_connection), m_responseTraits.keepAlive.value_or(ConnectionPool::DEFAULT_IDLE_TIMEOUT));
+        m_gateway.pool().release(m_endpoint.id, std::move(m_connection),
+            m_responseTraits.keepAlive.value_or(ConnectionPool::DEFAULT_IDLE_TIMEOUT));
     } else {
         m_connection.reset();
         m_gateway.pool().releaseClosed(m_endpoint.id);
--- a/src/gateway/requestflow.h
+++ b/src/gateway/requestflow.h
@@ -13,6 +13,7 @@
 #include "permitdecision.h"
 #include "placement.h"
 #include "resendpolicy.h"
+#include "streamcontinuation.h"
 #include "streamorigin.h"
 
 #include <memory>
@@ -115,7 +116,8 @@
     std::optional<TimePoint> endOfPauses() const;
 
     void forwardEvents(const std::string &piece);
-    void forwardEvent(const std::string &event);
+    /** Returns whether the response is to be read on. */
+    bool forwardEvent(const std::string &event);
     void handleFirstResponseByte();
     /** Logs a response that was complete before the request was sent. */
     void noteEarlyResponse();
@@ -195,6 +197,8 @@
     bool m_wasListAwaited = false;
     EventSplitter m_splitter;
     std::string m_lastEventId;
+    /** Of the attempt in progress. */
+    StreamContinuation m_continuation;
     /** Id of the endpoint for which a permit was asked. */
     std::string m_permitEndpoint;
     int m_permitsAsked = 0;
--- a/src/gateway/requestflowresponse.cpp
+++ b/src/gateway/requestflowresponse.cpp
@@ -138,8 +138,7 @@
 void RequestFlow::forwardEvents(const std::string &piece)
 {
     for (const auto &event : m_splitter.add(piece)) {
-        forwardEvent(event);
-        if (m_finished || !m_connection) {
+        if (!forwardEvent(event) || m_finished || !m_connection) {
             return;
         }
     }
@@ -150,9 +149,19 @@
     startResponseTimer(responseTimeout());
 }
 
-void RequestFlow::forwardEvent(const std::string &event)
+bool RequestFlow::forwardEvent(const std::string &event)
 {
     const std::string id = m_gateway.messages().eventId(event);
+    switch (m_continuation.judge(id)) {
+    case StreamContinuation::Verdict::Belongs:
+        break;
+    case StreamContinuation::Verdict::Ignored:
+        m_gateway.metrics().count("cyclamenturn_stream_events_ignored");
+        return true;
+    case StreamContinuation::Verdict::Contradicts:
+        attemptFailed(AttemptOutcome::ResponseLost, EndpointResult::FailureResponse, GatewayRefusal::EndpointMalformed);
+        return false;
+    }
     if (!id.empty()) {
         m_lastEventId = id;
     }
@@ -165,6 +174,7 @@
         m_gateway.metrics().observe("cyclamenturn_first_event_seconds", {{"route", m_admitted.route->name}},
             m_callerResponse.timeToFirstEvent());
     }
+    return true;
 }
 
 void RequestFlow::exchangeDone(bool isReusable)
@@ -187,7 +197,9 @@
     }
     if (m_isEventStream) {
         statistics.noteResult(EndpointResult::Succeeded, now);
-        if (!m_splitter.rest().empty()) {
+        // A caller that takes a stream up may have had all of its events; an endpoint that broke off had more.
+        const bool isContinued = !m_continuation.isMissing() || !m_callerResponse.isStreamStarted();
+        if (!isContinued || !m_splitter.rest().empty()) {
             attemptFailed(
                 AttemptOutcome::ResponseLost, EndpointResult::FailureResponse, GatewayRefusal::EndpointMalformed);
             return;
--- a/src/gateway/requestflowresumption.cpp
+++ b/src/gateway/requestflowresumption.cpp
@@ -76,8 +76,8 @@
 void RequestFlow::selectServiceOfVersion()
 {
     const auto &services = m_admitted.route->services;
-    const auto found = std::find_if(
-        services.begin(), services.end(), [this](const auto &item) { return hasVersion(item.service); });
+    const auto found
+        = std::find_if(services.begin(), services.end(), [this](const auto &item) { return hasVersion(item.service); });
     m_service = found != services.end() ? found->service : m_service;
 }
 
--- a/src/gateway/requestflowsending.cpp
+++ b/src/gateway/requestflowsending.cpp
@@ -32,7 +32,8 @@
         const EndpointRecord &record = m_gateway.incarnations().current(*listed);
         if (isOfVersion(record) && m_triedEndpoints.count(record.id) == 0
             && m_gateway.statements().accepts(record, now)) {
-            out.push_back({&record, &m_gateway.statistics(record.id), m_gateway.peers().loadAt(endpointHash(record.id))});
+            out.push_back(
+                {&record, &m_gateway.statistics(record.id), m_gateway.peers().loadAt(endpointHash(record.id))});
         }
     }
     return out;
@@ -292,6 +293,7 @@
         traits.enginePriority = enginePriority(m_admitted);
     }
     traits.lastEventId = m_lastEventId;
+    m_continuation.begin(m_lastEventId);
     HttpRequestHead head{m_request.head.method, m_request.head.target,
         m_gateway.messages().encodeForwardedFields(m_request.head, traits, m_configuration->requiresKeys())};
     m_connection->send(head, m_request.body, this);
--- a/src/gateway/versionhistory.h
+++ b/src/gateway/versionhistory.h
@@ -26,8 +26,8 @@
 
     /** Notes the endpoints that are listed from now on. */
     void update(const std::vector<EndpointRecord> &list, TimePoint now);
-    /** Notes that an incarnation that isn't listed serves. Until it is, or for as long as streams are remembered, it counts
-     * as a version of its own. Returns whether it is the first note of it for a while. */
+    /** Notes that an incarnation that isn't listed serves. Until it is, or for as long as streams are remembered, it
+     * counts as a version of its own. Returns whether it is the first note of it for a while. */
     bool noteUnlisted(const UnlistedIncarnation &notice, TimePoint now);
     /** Notes that the list was read and is the same. */
     void confirm(TimePoint now);
