A stream whose events have no ids isn't sent again after its first event

Callers had the beginning of such a stream twice. Cause: without an id there is no Last-Event-Id, so the next endpoint began anew, and its events were joined to those of the first one. Now the stream is cut.

processes_torn_responses, a_stream_whose_events_have_no_ids_is_not_sent_again: failed before (two times data: a).

--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -238,6 +238,10 @@
     if (chooseResend(*m_admitted.route, outcome, state) == ResendChoice::GiveUp) {
         return false;
     }
+    if (m_callerResponse.isStreamStarted() && m_lastEventId.empty()) {
+        // No endpoint can be told where to go on.
+        return false;
+    }
     if (m_witness.isRequestQuarantined()) {
         m_gateway.metrics().count("cyclamenturn_resends_refused", {{"reason", "quarantined"}});
         return false;
--- a/test/error/processes_torn_responses.py
+++ b/test/error/processes_torn_responses.py
@@ -205,6 +205,21 @@
     with_fleet(test)
 
 
+# It was sent again from its beginning, as no id told where to go on.
+def a_stream_whose_events_have_no_ids_is_not_sent_again():
+    def test(fleet):
+        def begin(connection, request):
+            connection.sendall(stream_head(request) + chunk("data: a\n\n"))
+            time.sleep(0.01)
+            return False
+
+        fleet.first = fleet.second = begin
+        for _ in range(5):
+            _, body, is_whole = fleet.read_events("/draft/x")
+            assert not is_whole and body == b"data: a\n\n", body
+    with_fleet(test)
+
+
 # A response whose head stopped was passed on with an empty body.
 def a_response_that_stops_within_its_head_is_never_passed_on():
     def test(fleet):
