Requests that a planned stop can't finish are refused before, or answered at the end of the grace time

Callers whose requests came from 1.6 s after SIGTERM on and ran for 6 s, on routes with a timeout of 7 s, had their connections closed at 7.6 s of 8 s without an answer, among them requests that may not be repeated.

Cause: until the load balancer has noticed the stop, all requests were accepted, whatever time they might take, and the process ended at the end of its grace time whatever was in progress.

Now a request that can't be sent again is accepted only if its timeout fits into the rest of the grace time, from the beginning of the stop on; it is refused with 503, so its caller goes to another gateway. What may be repeated is accepted as before. Each request's deadline, and the one that its endpoint gets, ends 0.6 s before the grace time, so that what is unfinished then gets its answer: 504, or 503 if it wasn't sent.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -119,7 +119,7 @@
     m_store.readListFor(std::move(handler));
 }
 
-void Gateway::withdrawQuarantinedPrompts()
+void Gateway::forEachFlow(const std::function<void(RequestFlow &flow)> &function)
 {
     // A request that ends removes itself from m_flows.
     std::vector<std::shared_ptr<RequestFlow>> flows;
@@ -127,10 +127,15 @@
         flows.push_back(flow);
     }
     for (const auto &flow : flows) {
-        flow->withdrawIfQuarantined();
+        function(*flow);
     }
 }
 
+void Gateway::withdrawQuarantinedPrompts()
+{
+    forEachFlow([](RequestFlow &flow) { flow.withdrawIfQuarantined(); });
+}
+
 ConfigurationDoubt Gateway::configurationDoubt() const
 {
     const ConfigurationSelection &selection = m_store.configurationSelection();
@@ -183,6 +188,7 @@
     m_stop.emplace(m_loop.now(), m_settings.stopGrace);
     m_callerServer.beginDrain();
     m_streams.beginStop();
+    forEachFlow([](RequestFlow &flow) { flow.limitToStop(); });
     LogEvent("stopping").field("busy_connections", static_cast<long long>(m_callerServer.busyConnectionCount()));
     continueStop();
 }
@@ -195,9 +201,14 @@
     m_loop.callAfter(STOP_STEP_INTERVAL, [this] { continueStop(); });
 }
 
-bool Gateway::accepts(Duration maxDuration) const
+bool Gateway::accepts(Duration maxDuration, bool isRepeatable) const
+{
+    return !m_stop || m_stop->accepts(maxDuration, isRepeatable, m_loop.now());
+}
+
+std::optional<TimePoint> Gateway::endOfAnswers() const
 {
-    return !m_stop || m_stop->accepts(maxDuration, m_loop.now());
+    return m_stop ? std::optional<TimePoint>(m_stop->endOfAnswers()) : std::nullopt;
 }
 
 bool Gateway::isStopped() const
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -59,9 +59,11 @@
     /** Whether, after beginStop(), no request is in progress and no response unsent any more, or the grace time is
      * nearly over. */
     bool isStopped() const;
-    /** Whether a request that may last up to `maxDuration` is accepted. False when a stop in progress leaves too little
-     * time. */
-    bool accepts(Duration maxDuration) const;
+    /** Whether a request that may last up to `maxDuration`, and may be sent again if `isRepeatable`, is accepted. False
+     * when a stop in progress leaves too little time. */
+    bool accepts(Duration maxDuration, bool isRepeatable) const;
+    /** When a stop in progress ends the requests that aren't answered by then. */
+    std::optional<TimePoint> endOfAnswers() const;
 
     EventLoop &loop()
     {
@@ -217,6 +219,8 @@
     void readList(std::function<void(bool isRead)> handler) override;
     /** Applies the current list, just read from the store or received from a peer, to the endpoint directory. */
     void applyEndpointList();
+    /** Calls `function` for each request in progress; it may end the request. */
+    void forEachFlow(const std::function<void(RequestFlow &flow)> &function);
     /** Ends the requests whose prompts have a part that was just quarantined. */
     void withdrawQuarantinedPrompts();
     void unexpectedDataReceived(const std::string &endpointId);
--- a/src/gateway/requestflow.cpp
+++ b/src/gateway/requestflow.cpp
@@ -89,11 +89,12 @@
         return;
     }
     m_deadline = m_request.arrivedAfter + std::min(m_admitted.route->timeout, callerTimeout());
-    m_deadlineTimer = m_gateway.loop().callAt(m_deadline, [this] { deadlineReached(); });
-    if (!m_gateway.accepts(maxDuration())) {
+    if (!m_gateway.accepts(maxDuration(), m_admitted.route->isRepeatable())) {
         refuse(GatewayRefusal::Stopping);
         return;
     }
+    m_deadlineTimer = m_gateway.loop().callAt(m_deadline, [this] { deadlineReached(); });
+    limitToStop();
     m_callerResponse.setDisconnectHandler([this] { callerDisconnected(); });
     if (refuseIfBehind()) {
         return;
@@ -111,6 +112,18 @@
     }
 }
 
+void RequestFlow::limitToStop()
+{
+    const auto end = m_gateway.endOfAnswers();
+    if (m_finished || !m_admitted.route || !end || *end >= m_deadline) {
+        return;
+    }
+    m_endsWithStop = true;
+    m_deadline = *end;
+    m_gateway.loop().cancel(m_deadlineTimer);
+    m_deadlineTimer = m_gateway.loop().callAt(m_deadline, [this] { deadlineReached(); });
+}
+
 void RequestFlow::refuseQuarantinedPart(const PartVerdict &verdict)
 {
     if (m_callerResponse.isStreamStarted() || m_mayHaveRun) {
@@ -157,8 +170,9 @@
 
 Duration RequestFlow::maxDuration() const
 {
-    return m_admitted.route->kind == RequestKind::Stream ? std::min(timeLeft(), TYPICAL_MAX_STREAM_DURATION)
-                                                         : timeLeft();
+    const Route &route = *m_admitted.route;
+    const bool canGoOnElsewhere = route.kind == RequestKind::Stream && route.canResume;
+    return canGoOnElsewhere ? std::min(timeLeft(), TYPICAL_MAX_STREAM_DURATION) : timeLeft();
 }
 
 Duration RequestFlow::timeLeft() const
@@ -299,7 +313,9 @@
 void RequestFlow::deadlineReached()
 {
     const bool waiting = m_connection != nullptr && m_connection->isConnected();
-    noteSilence();
+    if (!m_endsWithStop) {
+        noteSilence();
+    }
     endAttempt(false);
     giveUp(AttemptOutcome::ResponseLost,
         waiting || m_mayHaveRun ? GatewayRefusal::TimedOut : GatewayRefusal::TimedOutUnsent);
--- a/src/gateway/requestflow.h
+++ b/src/gateway/requestflow.h
@@ -36,6 +36,8 @@
     void start();
     /** Continues a request that waited for the first configuration. */
     void resume();
+    /** Brings the deadline forward to when a stop of this process ends the requests in progress. */
+    void limitToStop();
     /** Ends the request if a part of its prompt was quarantined, unless its answer has begun. */
     void withdrawIfQuarantined();
 
@@ -148,8 +150,8 @@
     Duration timeLeft() const;
     /** How long the caller waits for the response, from the beginning of its request. */
     Duration callerTimeout() const;
-    /** How long the request may keep this process busy. For streams this is a usual maximum, not the route's
-     * timeout. */
+    /** How long the request may keep this process busy. For streams that can go on elsewhere this is a usual maximum,
+     * not the route's timeout. */
     Duration maxDuration() const;
     /** How long the endpoint may send nothing before the request is sent to another one. */
     Duration responseTimeout() const;
@@ -164,6 +166,8 @@
     std::string m_service;
     TimePoint m_deadline;
     EventLoop::Timer m_deadlineTimer;
+    /** Whether the deadline is the end of a stop rather than the caller's or the route's. */
+    bool m_endsWithStop = false;
 
     /** Connection of the attempt in progress; null between attempts. */
     std::unique_ptr<EndpointConnection> m_connection;
--- a/src/gateway/stopplan.cpp
+++ b/src/gateway/stopplan.cpp
@@ -17,9 +17,14 @@
     return now - m_startedAt >= BALANCER_DETECTION_TIME;
 }
 
-bool StopPlan::accepts(Duration maxDuration, TimePoint now) const
+bool StopPlan::accepts(Duration maxDuration, bool isRepeatable, TimePoint now) const
 {
-    return !closesIdleConnections(now) || now + maxDuration <= m_startedAt + m_grace - EXIT_MARGIN;
+    return (isRepeatable && !closesIdleConnections(now)) || now + maxDuration <= endOfAnswers();
+}
+
+TimePoint StopPlan::endOfAnswers() const
+{
+    return m_startedAt + m_grace - EXIT_MARGIN - ANSWER_MARGIN;
 }
 
 bool StopPlan::isOver(std::size_t unfinishedConnections, TimePoint now) const
--- a/test/correctness/gateway_decisions.cpp
+++ b/test/correctness/gateway_decisions.cpp
@@ -220,12 +220,17 @@
     "a stopping process serves until the balancer detects it, then accepts only requests that fit into the grace time")
 {
     const StopPlan plan(START, milliseconds(8000));
-    CHECK(plan.accepts(milliseconds(12000), START + milliseconds(1000)));
+    CHECK(plan.accepts(milliseconds(12000), true, START + milliseconds(1000)));
+    CHECK(plan.accepts(milliseconds(6000), false, START + milliseconds(1000)));
+    CHECK_FALSE(plan.accepts(milliseconds(7000), false, START + milliseconds(1000)));
+    CHECK(plan.endOfAnswers() < START + milliseconds(7600));
     CHECK_FALSE(plan.isOver(0, START + milliseconds(1000)));
     const TimePoint detected = START + StopPlan::BALANCER_DETECTION_TIME;
     CHECK(plan.closesIdleConnections(detected));
-    CHECK(plan.accepts(milliseconds(4000), detected));
-    CHECK_FALSE(plan.accepts(milliseconds(5500), detected));
+    for (const bool isRepeatable : {false, true}) {
+        CHECK(plan.accepts(milliseconds(4000), isRepeatable, detected));
+        CHECK_FALSE(plan.accepts(milliseconds(5500), isRepeatable, detected));
+    }
     CHECK(plan.isOver(0, detected));
     CHECK_FALSE(plan.isOver(1, detected));
     CHECK(plan.isOver(1, START + milliseconds(7600)));
