--- a/src/gateway/requestflowresumption.cpp
+++ b/src/gateway/requestflowresumption.cpp
@@ -171,15 +171,15 @@
     if (connection && result != IncarnationCheck::Result::Failed) {
         const bool isOther = result == IncarnationCheck::Result::Other;
         connection->setStartedAtMs(isOther ? check->statedStartMs() : expected.startedAtMs);
-        if (!isOther && m_gateway.statements().accepts(expected, m_gateway.loop().now())) {
-            if (isStillWanted()) {
-                startAttempt(placement, std::move(connection));
-            } else {
-                m_gateway.pool().releaseClosed(expected.id);
-            }
+        const bool isAccepted = !isOther && m_gateway.statements().accepts(expected, m_gateway.loop().now());
+        if (isAccepted && isStillWanted()) {
+            startAttempt(placement, std::move(connection));
             return;
         }
         m_gateway.pool().release(expected.id, std::move(connection), ConnectionPool::DEFAULT_IDLE_TIMEOUT);
+        if (m_finished) {
+            return;
+        }
     } else {
         connection.reset();
         m_gateway.pool().releaseClosed(expected.id);
--- a/test/soak/streamload.py
+++ b/test/soak/streamload.py
@@ -7,6 +7,10 @@
     python3 test/soak/streamload.py BUILD --seed 1 --releases               versions come and go
     python3 test/soak/streamload.py BUILD --seed 1 --rolls 1.3 --pause-s 6  gateways are stopped and started in turn, and
                                                                             callers take streams up after some of the stops
+    python3 test/soak/streamload.py BUILD --seed 1 --replaced 4 --outages   endpoints start again under their ids with other
+                                                                            versions, and their entries come late or never;
+                                                                            the store is away at times, or all gateways are
+                                                                            killed at once
 
 Callers take a stream that was broken off up again at any gateway. Judged by what callers got: a stream never holds events
 of two versions, and streams that are taken up again go on at least half as often as new ones begin.
@@ -41,6 +45,10 @@
 TRIES = 4
 RELEASE_STEP_S = 1.0
 SETTLING_S = 2.0
+# How long an endpoint that is replaced is down, serves, and is listed late. Some end before they are listed, and the entry
+# of some comes again after that of the next incarnation.
+DOWN_S, SERVES_S, LATE_S = (0.05, 0.6), (0.8, 4.0), (0.0, 3.0)
+LATE_ENTRIES = 0.3
 DATAGRAM_LOSS = 0.02
 
 
@@ -49,13 +57,33 @@
 
     def __init__(self, fleet, name, version):
         self.fleet, self.name, self.version, self.random = fleet, name, version, random.Random(name)
-        self.server, self.state = Server(self.serve), "ready"
+        self.server, self.state, self.born = Server(self.serve), "ready", 1
         self.register()
 
+    def entry(self):
+        return {"service": "model", "addr": f"127.0.0.1:{self.server.port}", "zone": "z", "version": self.version, "slots": 64,
+                "state": self.state, "cold_left_ms": 0, "sequence": 1, "born": self.born}
+
     def register(self):
-        self.fleet.store.put(f"servers/{self.name}", {
-            "service": "model", "addr": f"127.0.0.1:{self.server.port}", "zone": "z", "version": self.version, "slots": 64,
-            "state": self.state, "cold_left_ms": 0, "sequence": 1, "born": 1})
+        self.fleet.store.put(f"servers/{self.name}", self.entry())
+
+    def replace(self, versions, stop):
+        """Starts again and again under its id and address, each time with one of the versions."""
+        while not stop.wait(self.random.uniform(*SERVES_S)):
+            port, former = self.server.port, self.entry()
+            self.server.close()
+            self.server.close_connections()
+            stop.wait(self.random.uniform(*DOWN_S))
+            self.version, self.born = self.random.choice(versions), self.born + 1
+            self.server = Server(self.serve, port)
+            if stop.wait(self.random.uniform(*LATE_S)):
+                return
+            if self.random.random() < LATE_ENTRIES:
+                continue
+            self.register()
+            if self.random.random() < LATE_ENTRIES:
+                stop.wait(0.5)
+                self.fleet.store.put(f"servers/{self.name}", former)
 
     def leave(self):
         self.state = "draining"
@@ -67,8 +95,9 @@
         self.server.close_connections()
 
     def serve(self, connection, stream):
+        version, born = self.version, self.born
         while (request := read_request(stream)):
-            if answers_report(connection, request):
+            if answers_report(connection, request, born):
                 continue
             first = int(request.headers.get("last-event-id") or 0) + 1
             last = first + self.random.randrange(1, 6) if self.random.random() < ENDPOINT_BREAKS else EVENTS
@@ -77,7 +106,7 @@
                 time.sleep(EVENT_PAUSE_S)
                 if event > last:
                     return  # breaks off
-                connection.sendall(chunk(f"id: {event}\ndata: {self.version} {event}\n\n"))
+                connection.sendall(chunk(f"id: {event}\ndata: {version} {event}\n\n"))
             connection.sendall(b"0\r\n\r\n")
 
 
@@ -88,6 +117,7 @@
         self.store, self.stop = RelayedStore(self.relay), threading.Event()
         self.store.put("op/config", configuration(1, ROUTES))
         self.engines = [Engine(self, f"{version}-{i}", version) for version in arguments.versions for i in range(2)]
+        self.replaced = [Engine(self, f"replaced-{i}", arguments.versions[0]) for i in range(arguments.replaced)]
         ports = lease_ports(PORTS_PER_GATEWAY * arguments.gateways)
         self.gateways = [LoadGateway(arguments.build, self.store, f"g{i}", ports) for i in range(arguments.gateways)]
         try:
@@ -183,6 +213,25 @@
         for thread in running:
             thread.join(timeout=20)
 
+    def inject_outages(self):
+        """Takes the store away for some seconds, or kills all gateways at the same moment."""
+        while not self.stop.wait(self.random.uniform(1.5, 4.0)):
+            begin = time.monotonic()
+            if self.random.random() < 0.5:
+                self.store.is_down = True
+                self.store.server.close_connections()
+                self.stop.wait(self.random.uniform(1.0, 6.0))
+                self.store.is_down = False
+                continue
+            for gateway in self.gateways:
+                gateway.process.kill()
+                gateway.process.wait()
+            for gateway in self.gateways:
+                gateway.start()
+            for gateway in self.gateways:
+                eventually(gateway.is_ready, f"readiness of {gateway.name}", timeout_s=60)
+                self.record.add_disturbance(gateway.name, begin, time.monotonic())
+
     def roll(self):
         """Stops and starts the gateways in turn; a stop may last longer than the time until the next one."""
         def stop(gateway):
@@ -219,7 +268,7 @@
     def close(self):
         for gateway in self.gateways:
             gateway.stop()
-        for engine in self.engines:
+        for engine in self.engines + self.replaced:
             engine.server.close()
         self.store.server.close()
         self.relay.close()
@@ -234,6 +283,13 @@
     return ticks / os.sysconf("SC_CLK_TCK")
 
 
+def mean(fleet, name):
+    """The mean of a metric over the gateways."""
+    for gateway in fleet.gateways:
+        eventually(gateway.is_ready, f"readiness of {gateway.name}")
+    return sum(gateway.metric(name) for gateway in fleet.gateways) / len(fleet.gateways)
+
+
 def print_handover(fleet):
     """Prints what the gateways have kept and sent, by their metrics: since their last start, the mean and the largest."""
     def values(name):
@@ -256,8 +312,12 @@
                for i in range(arguments.callers)]
     if arguments.faults:
         threads.append(threading.Thread(target=fleet.inject_faults, daemon=True))
+    if arguments.outages:
+        threads.append(threading.Thread(target=fleet.inject_outages, daemon=True))
     if arguments.rolls:
         threads.append(threading.Thread(target=fleet.roll, daemon=True))
+    for engine in fleet.replaced:
+        threads.append(threading.Thread(target=engine.replace, args=(arguments.versions, fleet.stop), daemon=True))
     if arguments.releases:
         threads.append(threading.Thread(target=fleet.release, daemon=True))
     try:
@@ -272,8 +332,11 @@
             f"; {100 * (cpu_seconds(fleet) - began) / arguments.seconds / arguments.gateways:.2f} % of a core a gateway"
         violations, summary = judge(fleet.record, is_version_kept=not arguments.releases)
         print(f"seed {arguments.seed}, {arguments.gateways} gateways{', faults' if arguments.faults else ''}"
-              f"{', releases' if arguments.releases else ''}{f', rolls {arguments.rolls} s' if arguments.rolls else ''}: "
+              f"{', releases' if arguments.releases else ''}"
+              f"{', outages' if arguments.outages else ''}{f', {arguments.replaced} replaced' if arguments.replaced else ''}{f', rolls {arguments.rolls} s' if arguments.rolls else ''}: "
               f"{summary}{used}")
+        print(f"since its last start, a gateway has opened {mean(fleet, 'cyclamenturn_endpoint_connections_opened'):.0f} "
+              f"connections to endpoints and asked {mean(fleet, 'cyclamenturn_incarnation_checks'):.0f} for their incarnation")
         if arguments.rolls:
             print_handover(fleet)
         if violations:
@@ -296,9 +359,11 @@
     parser.add_argument("--callers", type=int, default=40)
     parser.add_argument("--rate", type=float, default=40, help="new streams a second")
     parser.add_argument("--faults", action="store_true", help="kill, stop, freeze and cut off gateways meanwhile")
+    parser.add_argument("--outages", action="store_true", help="take the store away, and kill all gateways at once")
     parser.add_argument("--rolls", type=float, default=0, help="stop and start gateways in turn, one each so many seconds")
     parser.add_argument("--pause-s", type=float, default=1.0, help="the longest time until a caller takes a stream up")
     parser.add_argument("--releases", action="store_true", help="replace versions meanwhile")
+    parser.add_argument("--replaced", type=int, default=0, help="endpoints that start again under their ids with other versions")
     parser.add_argument("--seconds", type=float, default=20)
     violations = run(parser.parse_args())
     for text in violations:
