Incarnations of endpoints with short ids have names of their own

Callers got 503 no_endpoint though an endpoint was there: what one endpoint had said of itself, that it leaves, was kept under a name that another one had as well. Limits, pauses and crash evidence are kept under these names too.

Cause: the start time was the seed of XXH3, which is weak for texts of up to 8 bytes: it is combined with them by additions and exclusive ors. Now the start is hashed as a text, with the hash of the id as its seed. Ids of 10 and more bytes, as the sites have, are hashed by two words that would both have to be equal, so this wasn't seen there.

--- a/src/gateway/endpointdirectory.cpp
+++ b/src/gateway/endpointdirectory.cpp
@@ -21,8 +21,8 @@
 
 std::string EndpointRecord::incarnationName() const
 {
-    return Poco::NumberFormatter::formatHex(
-        static_cast<Poco::UInt32>(contentHash(id, static_cast<std::uint64_t>(startedAtMs))), INCARNATION_NAME_DIGITS);
+    const std::uint64_t hash = contentHash(std::to_string(startedAtMs), contentHash(id));
+    return Poco::NumberFormatter::formatHex(static_cast<Poco::UInt32>(hash), INCARNATION_NAME_DIGITS);
 }
 
 void EndpointDirectory::noteRestoration(TimePoint now)
--- a/test/correctness/endpointdirectory.cpp
+++ b/test/correctness/endpointdirectory.cpp
@@ -4,6 +4,7 @@
 #include "gateway/endpointdirectory.h"
 
 #include <catch2/catch.hpp>
+#include <set>
 
 using namespace Cyclamenturn;
 
@@ -42,6 +43,22 @@
 
 }
 
+// The start was the seed of the hash, which is weak for short texts: "i-0" of 2 had the name of "i-1" of 1.
+TEST_CASE("incarnations of endpoints with short ids have names of their own")
+{
+    std::set<std::string> names;
+    for (int id = 0; id < 100; ++id) {
+        for (std::int64_t start = 1; start <= 100; ++start) {
+            EndpointRecord record;
+            record.id = "i-" + std::to_string(id);
+            record.startedAtMs = start;
+            names.insert(record.incarnationName());
+        }
+    }
+    // Of 10,000 names of 32 bits, chance lets a few pairs be equal at the most.
+    CHECK(names.size() >= 9990);
+}
+
 TEST_CASE("leaving and removed endpoints get no requests")
 {
     EndpointDirectory directory;
