--- a/test/error/processes_streams.py
+++ b/test/error/processes_streams.py
@@ -24,7 +24,7 @@
     """Writes events that tell its version; breaks off after as many events as `breaks_after` says."""
 
     def __init__(self, store, name, version):
-        self.store, self.name, self.version, self.breaks_after = store, name, version, None
+        self.store, self.name, self.version, self.breaks_after, self.is_leaving = store, name, version, None, False
         super().__init__(self.respond)
         self.register()
 
@@ -41,7 +41,8 @@
 
     def respond(self, connection, request):
         first = int(request.headers.get("last-event-id") or 0) + 1
-        connection.sendall(stream_head(request))
+        head = stream_head(request)
+        connection.sendall(head.replace(b"\r\n\r\n", b"\r\nServer-Leaving: 1\r\n\r\n") if self.is_leaving else head)
         for event in range(first, EVENTS + 1):
             if self.breaks_after is not None and event > self.breaks_after:
                 return False
@@ -315,6 +316,23 @@
     with_fleet(test, versions=("v1", "v1"), gateways=2)
 
 
+# What it said was kept for its former incarnation, and forgotten as the list showed the restart.
+def an_endpoint_that_was_replaced_and_says_that_it_leaves_gets_no_requests_when_it_is_listed():
+    def test(fleet):
+        replaced, = fleet.engines
+        replaced.replace_in_place("v1")
+        replaced.is_leaving = True
+        assert fleet.open()[0] == 200
+        fleet.engines.append(Engine(fleet.store, "i-9", "v1"))
+        replaced.register()
+        time.sleep(0.6)
+        before = len(replaced.requests)
+        results = [fleet.open()[0] for _ in range(20)]
+        assert results == [200] * 20, results
+        assert len(replaced.requests) == before, f"{len(replaced.requests) - before} late requests"
+    with_fleet(test, versions=("v1",))
+
+
 # Each stream that was taken up made a call of its own to a store that had just failed.
 def a_store_that_fails_at_once_is_not_called_for_each_stream_that_is_taken_up():
     def list_reads(gateway):
