An endpoint that doesn't state its incarnation is passed over for a while

Callers of new streams waited 0.3 s for it, each anew, since the question that got no answer wasn't noted as a missing response.

--- a/src/gateway/requestflowresumption.cpp
+++ b/src/gateway/requestflowresumption.cpp
@@ -168,6 +168,9 @@
     if (result == IncarnationCheck::Result::Failed || result == IncarnationCheck::Result::Other) {
         otherIncarnationFound(*check, result);
     }
+    if (result == IncarnationCheck::Result::Failed) {
+        m_gateway.statistics(expected.id).noteResult(EndpointResult::NoResponse, m_gateway.loop().now());
+    }
     if (connection && result != IncarnationCheck::Result::Failed) {
         const bool isOther = result == IncarnationCheck::Result::Other;
         connection->setStartedAtMs(isOther ? check->statedStartMs() : expected.startedAtMs);
--- a/test/error/processes_streams.py
+++ b/test/error/processes_streams.py
@@ -25,9 +25,15 @@
 
     def __init__(self, store, name, version):
         self.store, self.name, self.version, self.breaks_after, self.is_leaving = store, name, version, None, False
+        self.is_mute = False
         super().__init__(self.respond)
         self.register()
 
+    def serve(self, connection, stream):
+        while self.is_mute and stream.readline():
+            pass
+        super().serve(connection, stream)
+
     def register(self, state="ready"):
         self.store.put(f"servers/{self.name}", {**self.registration(state=state), "version": self.version})
 
@@ -316,6 +322,18 @@
     with_fleet(test, versions=("v1", "v1"), gateways=2)
 
 
+# Nobody noted that it had not answered, so each stream waited for it anew.
+def an_endpoint_that_does_not_state_its_incarnation_is_passed_over():
+    def test(fleet):
+        fleet.engines[0].is_mute = True
+        begin = time.monotonic()
+        results = [fleet.open()[0] for _ in range(30)]
+        assert results == [200] * 30, results
+        checks = len(fleet.gateways[0].log_lines("incarnation_not_confirmed"))
+        assert checks <= 5, f"{checks} questions in vain in {time.monotonic() - begin:.1f} s"
+    with_fleet(test, versions=("v1", "v1"))
+
+
 # What it said was kept for its former incarnation, and forgotten as the list showed the restart.
 def an_endpoint_that_was_replaced_and_says_that_it_leaves_gets_no_requests_when_it_is_listed():
     def test(fleet):
