--- a/review/8/case.py
+++ b/review/8/case.py
@@ -2,8 +2,6 @@
 """Prompts with a part that crashes endpoints come in two groups, some seconds apart."""
 import http.client
 import os
-import socket
-import struct
 import sys
 import threading
 import time
@@ -15,9 +13,6 @@
 ENGINES = 16
 SETTLED_S = 5
 BAD_PART = "dead0001"
-# How long a crashed endpoint is away: over three heartbeats of 1.2 s, after which its entry is removed.
-AWAY_S = 4.0
-EVENTS, EVENT_GAP_S, FIRST_EVENT_S = 8, 0.1, 0.15
 SOUND_PER_S = 16
 # Each group has so many prompts, at this interval.
 GROUP, INTERVAL_S = 24, 0.018
@@ -26,91 +21,6 @@
 CRASHES, MOST_AFTERWARDS = 5, 3
 
 
-class Engine:
-    """An endpoint that crashes when it begins to answer a prompt with the bad part, and is back some seconds later."""
-
-    def __init__(self, store, number, record):
-        self.store, self.number, self.record, self.connections = store, number, record, set()
-        self.bad_runs, self.crashes, self.lock, self.port = [], [], threading.Lock(), 0
-        self.begin()
-
-    def begin(self):
-        self.born = int(time.time() * 1000)
-        self.listener = socket.socket()
-        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.listener.bind((fleet.network + "100", self.port))
-        self.listener.listen(128)
-        self.port, self.is_up = self.listener.getsockname()[1], True
-        self.id = f"i-{self.number}-{self.born:x}"
-        self.store.put(f"servers/{self.id}", {
-            "service": "model", "addr": f"{fleet.network}100:{self.port}", "zone": "zone-a", "version": "v1",
-            "slots": 64, "state": "ready", "cold_left_ms": 0, "sequence": 1, "born": self.born})
-        threading.Thread(target=self.accept, args=(self.listener, self.id), daemon=True).start()
-
-    def accept(self, listener, instance):
-        while True:
-            try:
-                connection, _ = listener.accept()
-            except OSError:
-                return
-            with self.lock:
-                self.connections.add(connection)
-            threading.Thread(target=self.serve, args=(connection, instance), daemon=True).start()
-
-    def crash(self):
-        with self.lock:
-            if not self.is_up:
-                return
-            self.is_up = False
-            connections, self.connections = self.connections, set()
-        self.crashes.append(time.monotonic())
-        for closed in (self.listener, *connections):
-            try:
-                if closed is not self.listener:
-                    closed.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-                closed.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass
-            closed.close()
-        old = self.id
-        threading.Timer(AWAY_S, self.come_back, (old,)).start()
-
-    def come_back(self, old):
-        self.store.remove(f"servers/{old}")
-        self.begin()
-
-    def serve(self, connection, instance):
-        try:
-            stream = connection.makefile("rb")
-            while (request := fleet.read_request(stream)):
-                if not self.answer(connection, request, instance):
-                    return
-        except (OSError, ValueError):
-            pass
-
-    def answer(self, connection, request, instance):
-        if request.headers.get("x-expect-instance", instance) != instance:
-            connection.sendall(f"HTTP/1.1 421 X\r\nX-Attempt-Id: {request.headers.get('x-attempt-id', '')}\r\n"
-                               "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode())
-            return True
-        is_bad = fleet.TROUBLE and BAD_PART in request.headers.get("x-prompt-prefix", "")
-        if is_bad:
-            self.bad_runs.append((time.monotonic(), request.headers["x-attempt-id"]))
-        time.sleep(FIRST_EVENT_S)
-        if is_bad:
-            self.record(f"engine {self.number} crashes on {request.headers['x-attempt-id']}")
-            self.crash()
-            return False
-        connection.sendall(fleet.sealed_head(request, 200, "Content-Type: text/event-stream\r\n"
-                                                           "Transfer-Encoding: chunked\r\n\r\n"))
-        for number in range(1, EVENTS + 1):
-            event = f"id: {number}\ndata: piece {number}\n\n".encode()
-            connection.sendall(b"%x\r\n%s\r\n" % (len(event), event))
-            time.sleep(EVENT_GAP_S)
-        connection.sendall(b"0\r\n\r\n")
-        return True
-
-
 class Prompts:
     """Sends prompts, each in a thread of its own, and notes how they end."""
 
@@ -135,7 +45,7 @@
             connection.request("POST", "/draft/1", b"%d" % number, fields)
             response = connection.getresponse()
             status = response.status
-            is_whole = f"id: {EVENTS}\n".encode() in response.read()
+            is_whole = f"id: {fleet.CrashingEndpoint.EVENTS}\n".encode() in response.read()
         except (OSError, http.client.HTTPException):
             pass
         finally:
@@ -156,7 +66,7 @@
 
 def case(record):
     store = fleet.Store()
-    engines = [Engine(store, i, record) for i in range(ENGINES)]
+    engines = [fleet.CrashingEndpoint(store, i, record, BAD_PART) for i in range(ENGINES)]
     store.put("op/config", fleet.configuration(3, [fleet.route(
         "draft", "model", "streaming", sticky=True, max_attempts=1, gap_target_ms=300)], max_connections=720))
     gateways = [fleet.Gateway(store, number=i + 1, memory_mb=182) for i in range(GATEWAYS)]
--- a/review/smallfleet.py
+++ b/review/smallfleet.py
@@ -13,6 +13,7 @@
 import signal
 import socket
 import socketserver
+import struct
 import subprocess
 import sys
 import tempfile
@@ -227,6 +228,99 @@
     connection.sendall(sealed_head(request, status) + b"Content-Length: %d\r\n\r\n" % len(body) + body)
 
 
+class CrashingEndpoint:
+    """An endpoint that crashes when it begins to answer a prompt with the bad part, and is back under another id.
+
+    The bad part crashes nothing with TROUBLE=0. `bad_runs` has the prompts that crashed the endpoint.
+    """
+
+    # How long it is away: over three heartbeats of 1.2 s, after which its entry is removed.
+    AWAY_S = 4.0
+    FIRST_EVENT_S, EVENTS, EVENT_GAP_S = 0.15, 8, 0.1
+
+    def __init__(self, store, number, record, bad_part):
+        self.store, self.number, self.record, self.bad_part = store, number, record, bad_part
+        self.connections = set()
+        self.bad_runs, self.crashes, self.lock, self.port = [], [], threading.Lock(), 0
+        self.begin()
+
+    def begin(self):
+        self.born = int(time.time() * 1000)
+        self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind((network + "100", self.port))
+        self.listener.listen(128)
+        self.port, self.is_up = self.listener.getsockname()[1], True
+        self.id = f"i-{self.number}-{self.born:x}"
+        self.store.put(f"servers/{self.id}", {
+            "service": "model", "addr": f"{network}100:{self.port}", "zone": "zone-a", "version": "v1",
+            "slots": 64, "state": "ready", "cold_left_ms": 0, "sequence": 1, "born": self.born})
+        threading.Thread(target=self.accept, args=(self.listener, self.id), daemon=True).start()
+
+    def accept(self, listener, instance):
+        while True:
+            try:
+                connection, _ = listener.accept()
+            except OSError:
+                return
+            with self.lock:
+                self.connections.add(connection)
+            threading.Thread(target=self.serve, args=(connection, instance), daemon=True).start()
+
+    def crash(self):
+        with self.lock:
+            if not self.is_up:
+                return
+            self.is_up = False
+            connections, self.connections = self.connections, set()
+        self.crashes.append(time.monotonic())
+        for closed in (self.listener, *connections):
+            try:
+                if closed is not self.listener:
+                    closed.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                closed.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+            closed.close()
+        old = self.id
+        threading.Timer(self.AWAY_S, self.come_back, (old,)).start()
+
+    def come_back(self, old):
+        self.store.remove(f"servers/{old}")
+        self.begin()
+
+    def serve(self, connection, instance):
+        try:
+            stream = connection.makefile("rb")
+            while (request := read_request(stream)):
+                if request.headers.get("x-expect-instance", instance) != instance:
+                    connection.sendall(f"HTTP/1.1 421 X\r\nX-Attempt-Id: {request.headers.get('x-attempt-id', '')}\r\n"
+                                       "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode())
+                elif not self.answer(connection, request):
+                    return
+        except (OSError, ValueError):
+            pass
+
+    def answer(self, connection, request):
+        """Returns False if the endpoint has crashed."""
+        is_bad = TROUBLE and self.bad_part in request.headers.get("x-prompt-prefix", "")
+        if is_bad:
+            self.bad_runs.append((time.monotonic(), request.headers["x-attempt-id"]))
+        time.sleep(self.FIRST_EVENT_S)
+        if is_bad:
+            self.record(f"engine {self.number} crashes on {request.headers['x-attempt-id']}")
+            self.crash()
+            return False
+        connection.sendall(sealed_head(request, 200, "Content-Type: text/event-stream\r\n"
+                                                     "Transfer-Encoding: chunked\r\n\r\n"))
+        for number in range(1, self.EVENTS + 1):
+            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            connection.sendall(b"%x\r\n%s\r\n" % (len(event), event))
+            time.sleep(self.EVENT_GAP_S)
+        connection.sendall(b"0\r\n\r\n")
+        return True
+
+
 def route(name, service, kind="idempotent", **more):
     out = {"name": name, "host": "h.example", "prefix": f"/{name}/", "route_type": kind, "timeout_ms": 4000,
            "slo_ms": 500, "priority": 1, "service": service, "max_attempts": 2, "public": False, "sticky": False,
