Review: a template that crashes endpoints keeps a small deployment down

Case 10: prompts with a bad first part come once a second to three endpoints. The part isn't quarantined until each gateway has seen ten other answers itself, of which there are few while the endpoints are down.

The sender of prompts is now shared by cases 9 and 10.

--- a/review/smallfleet.py
+++ b/review/smallfleet.py
@@ -321,6 +321,63 @@
         return True
 
 
+class Prompts:
+    """Sends prompts of several kinds on the route "draft", each in a thread of its own, and notes how they end.
+
+    `parts(kind, number, elapsed_s)` returns the key of a prompt and its first two parts; the third is its own.
+    """
+
+    def __init__(self, gateways, parts, record):
+        self.gateways, self.parts, self.record, self.number, self.ended = gateways, parts, record, 0, False
+        self.began, self.results, self.lock = time.monotonic(), {}, threading.Lock()
+
+    def send(self, kind):
+        with self.lock:
+            self.number += 1
+            number = self.number
+        gateway = self.gateways[number % len(self.gateways)]
+        sent_at, attempt = time.monotonic(), os.urandom(8).hex()
+        key, first, second = self.parts(kind, number, sent_at - self.began)
+        fields = {"Host": "h.example", "X-Attempt-Id": attempt, "Authorization": f"Bearer {key}", "X-Model": "m",
+                  "X-Deadline-Ms": "4000", "X-Token-Count": "9190,54",
+                  "X-Prompt-Prefix": f"{first}:2520,{second}:3780,{0xb7d00000 + number:x}:2890"}
+        connection = http.client.HTTPConnection(*gateway.callers, timeout=5)
+        status, body = 0, b""
+        try:
+            connection.request("POST", "/draft/1", b"%d" % number, fields)
+            response = connection.getresponse()
+            status = response.status
+            while (line := response.readline()):
+                body += line
+        except (OSError, http.client.HTTPException):
+            pass
+        finally:
+            connection.close()
+        has_begun = status == 200 and body.startswith(b"id: ")
+        is_whole = f"id: {CrashingEndpoint.EVENTS}\n".encode() in body
+        self.results.setdefault(kind, []).append((sent_at, has_begun, has_begun and not is_whole))
+        end = "whole" if is_whole else "broken off" if has_begun else repr(body[:40])
+        self.record(f"{kind} prompt {attempt} with {first},{second} at {gateway.ip}: status {status}, {end}")
+
+    def send_each(self, kind, interval_s):
+        while not self.ended:
+            threading.Thread(target=self.send, args=(kind,), daemon=True).start()
+            time.sleep(interval_s)
+
+    def begin(self, kind, interval_s):
+        threading.Thread(target=self.send_each, args=(kind, interval_s), daemon=True).start()
+
+    def share(self, kind, begin, end):
+        """Returns how many prompts of that time began, how many were sent, and the share."""
+        found = [has_begun for sent_at, has_begun, _ in self.results.get(kind, []) if begin <= sent_at < end]
+        return sum(found), len(found), sum(found) / max(1, len(found))
+
+    def broken_off(self, begin, end):
+        """Returns how many sound streams of that time broke off."""
+        return sum(is_broken for kind, results in self.results.items() if kind != "bad"
+                   for sent_at, _, is_broken in results if begin <= sent_at < end)
+
+
 def route(name, service, kind="idempotent", **more):
     out = {"name": name, "host": "h.example", "prefix": f"/{name}/", "route_type": kind, "timeout_ms": 4000,
            "slo_ms": 500, "priority": 1, "service": service, "max_attempts": 2, "public": False, "sticky": False,
