--- a/review/smallfleet.py
+++ b/review/smallfleet.py
@@ -378,6 +378,28 @@
                    for sent_at, _, is_broken in results if begin <= sent_at < end)
 
 
+class BadPartFigures:
+    """What a run with prompts of the kinds "sound" and "bad" shows, for the rules BUDGET and LOST of the news pages."""
+
+    STABLE_S, COUNTED_CRASH = 3.0, 5
+
+    def __init__(self, engines, prompts, bad_since, bad_until):
+        crashes = sorted(at for engine in engines for at in engine.crashes)
+        # The fifth crash, or the last one if there are fewer.
+        counted = crashes[min(self.COUNTED_CRASH, len(crashes)) - 1] if crashes else bad_since
+        self.crashes = len(crashes)
+        self.before = prompts.share("sound", 0, bad_since)
+        self.after = prompts.share("sound", counted + 2 * self.STABLE_S, bad_until)
+        self.late = sum(at > counted + self.STABLE_S for engine in engines for at, _ in engine.bad_runs)
+        self.broken_off = prompts.broken_off(bad_since, bad_until)
+
+    def write(self, record):
+        record(f"{self.crashes} crashes; sound prompts that began: {self.before[0]} of {self.before[1]} before, "
+               f"{self.after[0]} of {self.after[1]} from 6 s after the fifth crash", True)
+        record(f"bad prompts that reached endpoints more than 3 s after the fifth crash: {self.late}; sound streams "
+               f"that broke off since the first: {self.broken_off}", True)
+
+
 def route(name, service, kind="idempotent", **more):
     out = {"name": name, "host": "h.example", "prefix": f"/{name}/", "route_type": kind, "timeout_ms": 4000,
            "slo_ms": 500, "priority": 1, "service": service, "max_attempts": 2, "public": False, "sticky": False,
