--- a/review/smallfleet.py
+++ b/review/smallfleet.py
@@ -32,7 +32,10 @@
 class Record:
     """The record of a run: one line for each event, with the time since the beginning."""
 
+    current = None
+
     def __init__(self, script):
+        Record.current = self
         name = os.path.join(os.path.dirname(os.path.abspath(script)), "record.txt")
         self.out, self.began, self.lock = open(name, "w", encoding="utf-8"), time.monotonic(), threading.Lock()
 
@@ -217,6 +220,7 @@
     def note_run(self, request):
         with self.lock:
             self.runs.append((time.monotonic(), request.headers["x-attempt-id"]))
+        Record.current(f"{self.id} runs {request.headers['x-attempt-id']}")
 
 
 def sealed_head(request, status=200, more=""):
@@ -304,6 +308,7 @@
     def answer(self, connection, request):
         """Returns False if the endpoint has crashed."""
         is_bad = TROUBLE and self.bad_part in request.headers.get("x-prompt-prefix", "")
+        self.record(f"engine {self.number} runs {request.headers['x-attempt-id']}")
         if is_bad:
             self.bad_runs.append((time.monotonic(), request.headers["x-attempt-id"]))
         time.sleep(self.FIRST_EVENT_S)
@@ -341,6 +346,7 @@
         fields = {"Host": "h.example", "X-Attempt-Id": attempt, "Authorization": f"Bearer {key}", "X-Model": "m",
                   "X-Deadline-Ms": "4000", "X-Token-Count": "9190,54",
                   "X-Prompt-Prefix": f"{first}:2520,{second}:3780,{0xb7d00000 + number:x}:2890"}
+        self.record(f"{kind} prompt {attempt} with {first},{second} is sent to {gateway.ip}")
         connection = http.client.HTTPConnection(*gateway.callers, timeout=5)
         status, body = 0, b""
         try:
@@ -357,7 +363,7 @@
         is_whole = f"id: {CrashingEndpoint.EVENTS}\n".encode() in body
         self.results.setdefault(kind, []).append((sent_at, has_begun, has_begun and not is_whole))
         end = "whole" if is_whole else "broken off" if has_begun else repr(body[:40])
-        self.record(f"{kind} prompt {attempt} with {first},{second} at {gateway.ip}: status {status}, {end}")
+        self.record(f"{kind} prompt {attempt}: status {status}, {end}")
 
     def send_each(self, kind, interval_s):
         while not self.ended:
