Log lines tell why a part with enough crashes isn't refused

Which of two parts of the same prompts was held against the crashes, and why, showed in no line: part_quarantined names the part that was refused only. part_spared and part_released name the others with their reason, once for each change of it.

--- a/src/gateway/partquarantine.cpp
+++ b/src/gateway/partquarantine.cpp
@@ -306,12 +306,21 @@
             candidates.push_back(part);
         }
     }
-    for (auto it = m_verdicts.begin(); it != m_verdicts.end();) {
-        const auto found = counts.find(it->first);
-        it = found == counts.end() || found->second < CRASH_LIMIT ? m_verdicts.erase(it) : std::next(it);
+    const auto isNoCandidate = [&counts](PartKey part) {
+        const auto found = counts.find(part);
+        return found == counts.end() || found->second < CRASH_LIMIT;
+    };
+    std::vector<PartKey> cleared;
+    for (const auto &[part, quarantine] : m_verdicts) {
+        if (isNoCandidate(part)) {
+            cleared.push_back(part);
+        }
     }
-    if (candidates.empty()) {
-        return;
+    for (const PartKey part : cleared) {
+        spare(part, counts[part], m_suspects.count(part) != 0 ? PartAcquittal::Answered : PartAcquittal::Expired);
+    }
+    for (auto it = m_spared.begin(); it != m_spared.end();) {
+        it = isNoCandidate(it->first) ? m_spared.erase(it) : std::next(it);
     }
     std::sort(candidates.begin(), candidates.end(), [&counts](PartKey a, PartKey b) {
         return std::make_tuple(-partPlace(a), -counts[a], a) < std::make_tuple(-partPlace(b), -counts[b], b);
@@ -320,23 +329,36 @@
         const bool isKnown = m_verdicts.count(part) != 0;
         std::vector<PartCrash> counted = unansweredCrashes(part, m_suspects[part]);
         if (isKnown && !isQuarantineKept(part, counted)) {
-            m_verdicts.erase(part);
+            spare(part, counts[part], PartAcquittal::OtherCause);
             continue;
         }
-        const auto isNotCounted = [&](const PartCrash &crash) {
-            return now - crash.at < SETTLING_TIME || hasOtherCause(crash, counts);
-        };
         if (!isKnown) {
-            counted.erase(std::remove_if(counted.begin(), counted.end(), isNotCounted), counted.end());
+            const auto isTooRecent = [now](const PartCrash &crash) {
+                return now - crash.at < SETTLING_TIME;
+            };
+            counted.erase(std::remove_if(counted.begin(), counted.end(), isTooRecent), counted.end());
+            if (countCrashes(counted) < CRASH_LIMIT) {
+                continue;
+            }
+            const auto isExcused = [&](const PartCrash &crash) {
+                return hasOtherCause(crash, counts);
+            };
+            counted.erase(std::remove_if(counted.begin(), counted.end(), isExcused), counted.end());
         }
         const int count = countCrashes(counted);
-        if (count < CRASH_LIMIT || counted.back().at + QUARANTINE_TIME <= now) {
-            m_verdicts.erase(part);
+        if (count < CRASH_LIMIT) {
+            spare(part, counts[part], PartAcquittal::OtherCause);
+            continue;
+        }
+        if (counted.back().at + QUARANTINE_TIME <= now) {
+            spare(part, counts[part], PartAcquittal::Expired);
             continue;
         }
         if (!isKnown && !isServiceWorking(part, counted.front().at)) {
+            spare(part, counts[part], PartAcquittal::TooFewOtherAnswers);
             continue;
         }
+        m_spared.erase(part);
         Quarantine &quarantine = m_verdicts[part];
         quarantine.verdict = {part, count, counted.back().at + QUARANTINE_TIME};
         for (const auto &crash : counted) {
@@ -348,6 +370,19 @@
     }
 }
 
+void PartQuarantine::spare(PartKey part, int crashes, PartAcquittal reason)
+{
+    const bool wasQuarantined = m_verdicts.erase(part) != 0;
+    const auto [known, isNew] = m_spared.try_emplace(part, reason);
+    if (!isNew && known->second == reason && !wasQuarantined) {
+        return;
+    }
+    known->second = reason;
+    if (m_newlySpared.size() < MAX_SPARED) {
+        m_newlySpared.push_back({part, crashes, reason, wasQuarantined, answeredAt(part).has_value()});
+    }
+}
+
 void PartQuarantine::update(TimePoint now)
 {
     const bool isIdle = !m_isChanged && m_judgedAt >= m_addedAt + SETTLING_TIME;
@@ -383,6 +418,12 @@
     return std::exchange(m_newVerdicts, {});
 }
 
+std::vector<SparedPart> PartQuarantine::takeSparedParts(TimePoint now)
+{
+    update(now);
+    return std::exchange(m_newlySpared, {});
+}
+
 PartEvidence PartQuarantine::evidence(TimePoint now) const
 {
     std::vector<PartCrash> repeated;
--- a/src/gateway/partquarantine.h
+++ b/src/gateway/partquarantine.h
@@ -31,6 +31,31 @@
     TimePoint until;
 };
 
+/** Why a part with many crashes isn't refused. */
+enum class PartAcquittal {
+    /** Another part explains its crashes. */
+    OtherCause,
+    /** It is a first part, and too few other prompts have been answered since its first crash. */
+    TooFewOtherAnswers,
+    /** Its prompts have been answered since. */
+    Answered,
+    /** Its last crash is too long ago. */
+    Expired,
+};
+
+/** A part that has, or had until now, enough crashes for a quarantine, and isn't refused. */
+struct SparedPart
+{
+    PartKey part = 0;
+    /** Crashes since its last answer. */
+    int crashes = 0;
+    PartAcquittal reason = PartAcquittal::OtherCause;
+    /** Whether it was refused until now. */
+    bool wasQuarantined = false;
+    /** Whether any answer to a prompt with it is known. */
+    bool wasAnswered = false;
+};
+
 class PartQuarantine
 {
 public:
@@ -62,6 +87,8 @@
     static constexpr std::size_t MAX_PENDING = 1024;
     /** Parts of which the latest answer is remembered. */
     static constexpr std::size_t MAX_ANSWERED = 8192;
+    /** Spared parts that wait to be logged; others aren't. */
+    static constexpr std::size_t MAX_SPARED = 64;
     /**
      * Other prompts must have been answered so often since the first crash before the first part of a prompt is
      * quarantined. Most prompts have one of a few first parts, and none is answered while a service is down.
@@ -88,6 +115,8 @@
     std::optional<PartVerdict> verdict(const std::vector<PartKey> &parts, const std::string &team, TimePoint now);
     /** Returns the parts that were quarantined since the last call. */
     std::vector<PartVerdict> takeNewVerdicts(TimePoint now);
+    /** Returns the parts that have been spared, or for another reason, since the last call. */
+    std::vector<SparedPart> takeSparedParts(TimePoint now);
     /** Returns what other gateways should know, the most important first. */
     PartEvidence evidence(TimePoint now) const;
     /** Whether this gateway has recorded a crash that the others have had little time to learn. */
@@ -143,6 +172,8 @@
     /** Judges all suspects anew if the evidence or its age may have changed the result. */
     void update(TimePoint now);
     void judge(TimePoint now);
+    /** Ends the quarantine of a part, if there is one, and notes why it isn't refused. */
+    void spare(PartKey part, int crashes, PartAcquittal reason);
     /** Drops one crash of a suspect that has too many. */
     void thinOut(PartKey part, std::vector<PartCrash> &crashes) const;
     /** Whether `part` is still to be refused: answers and the crashes of later parts that were found meanwhile speak
@@ -161,6 +192,9 @@
     std::unordered_map<PartKey, Suspect> m_suspects;
     std::unordered_map<PartKey, Quarantine> m_verdicts;
     std::vector<PartVerdict> m_newVerdicts;
+    /** The latest reason of each part with enough crashes that isn't refused. */
+    std::unordered_map<PartKey, PartAcquittal> m_spared;
+    std::vector<SparedPart> m_newlySpared;
     boost::circular_buffer<PartCrash> m_ownReports{MAX_OWN_REPORTS};
     /** The latest crash of each endpoint, by the hash of its incarnation; at most MAX_CRASHED_ENDPOINTS. */
     std::unordered_map<std::uint64_t, CrashedEndpoint> m_crashedEndpoints;
--- a/src/gateway/partwatch.cpp
+++ b/src/gateway/partwatch.cpp
@@ -20,6 +20,21 @@
 /** Evidence that is no longer fresh goes along with every this many rounds of digests. */
 constexpr std::size_t ROUNDS_PER_REPEAT = 4;
 
+const char *nameOf(PartAcquittal reason)
+{
+    switch (reason) {
+    case PartAcquittal::OtherCause:
+        return "other_cause";
+    case PartAcquittal::TooFewOtherAnswers:
+        return "too_few_other_answers";
+    case PartAcquittal::Answered:
+        return "answered";
+    case PartAcquittal::Expired:
+        return "expired";
+    }
+    return "unknown";
+}
+
 }
 
 PartWatch::PartWatch(EventLoop &loop, PeerLink &link, Metrics &metrics, std::function<void()> quarantined)
@@ -102,6 +117,14 @@
             .field("crashes", verdict.crashes)
             .field("for_ms", toMilliseconds(verdict.until - now));
     }
+    for (const auto &spared : m_quarantine.takeSparedParts(now)) {
+        LogEvent(spared.wasQuarantined ? "part_released" : "part_spared")
+            .field("part", std::to_string(spared.part))
+            .field("place", partPlace(spared.part))
+            .field("crashes", spared.crashes)
+            .field("reason", nameOf(spared.reason))
+            .field("answered_before", spared.wasAnswered ? 1 : 0);
+    }
     if (++m_checks % CHECKS_PER_EXPIRY == 0) {
         m_quarantine.expire(now);
     }
