A part that explains all crashes is quarantined, not the later ones that explain some

Callers saw: a caller's prompts with one template crash endpoints, and share their documents with sound prompts.

Cause: a later part with two crashes took a crash from an earlier one, however many crashes the earlier one was in besides. The verdict on the document then couldn't be contradicted: its prompts were refused, so none was answered, and crashes that it seemed to explain were neither counted for the template nor passed on to other gateways. part_spared of the commit before shows it: the template has 13 crashes, no answer, and reason=other_cause.

Change: of two parts that the same crashes interrupted, the one in clearly more of them is the more likely cause, and one that has never been answered counts as two more; only then fewer prompts decide. A quarantined part explains crashes of less likely parts only, and is released when more likely quarantined parts explain its own.

Evidence: correctness_part_fleet replays four gateways that exchange evidence. On the code before, 3 of its 4 cases failed: up to 42 bad prompts sent late where three are allowed, and no sound prompt begun with one document that stays. The third and the fourth mirror the case: a bad document under changing templates (held before, too), and a part that turns bad beside new parts. All hold now.

--- a/src/gateway/partquarantine.cpp
+++ b/src/gateway/partquarantine.cpp
@@ -6,6 +6,7 @@
 #include "rendezvoushash.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <tuple>
 #include <utility>
 
@@ -249,31 +250,47 @@
                                                                                         : nullptr;
 }
 
-bool PartQuarantine::isExplained(const PartCrash &crash) const
+PartQuarantine::Standing PartQuarantine::standing(PartKey part) const
 {
-    const std::vector<PartKey> *parts = m_verdicts.count(crash.part) == 0 ? interruptedParts(crash) : nullptr;
-    return parts != nullptr
-        && std::any_of(parts->begin(), parts->end(), [this](PartKey part) { return m_verdicts.count(part) != 0; });
+    const auto found = m_standings.find(part);
+    return found == m_standings.end() ? Standing() : found->second;
 }
 
-bool PartQuarantine::hasOtherCause(const PartCrash &crash, const std::unordered_map<PartKey, int> &counts) const
+bool PartQuarantine::isMoreLikely(PartKey a, PartKey b) const
 {
-    const std::vector<PartKey> *parts = interruptedParts(crash);
-    if (parts == nullptr) {
-        return false;
+    const Standing first = standing(a);
+    const Standing second = standing(b);
+    if (std::abs(first.weight - second.weight) >= CLEAR_LEAD) {
+        return first.weight > second.weight;
     }
-    const auto countOf = [&counts](PartKey part) {
-        const auto found = counts.find(part);
-        return found == counts.end() ? 0 : found->second;
-    };
-    return isExplained(crash) || std::any_of(parts->begin(), parts->end(), [&](PartKey other) {
-        if (other == crash.part) {
-            return false;
-        }
-        if (partPlace(other) != partPlace(crash.part)) {
-            return partPlace(other) > partPlace(crash.part) && countOf(other) > 1;
-        }
-        return countOf(other) > countOf(crash.part);
+    return partPlace(a) != partPlace(b) ? partPlace(a) > partPlace(b) : first.crashes > second.crashes;
+}
+
+template<typename Predicate>
+bool PartQuarantine::hasInterrupted(const PartCrash &crash, Predicate isCause) const
+{
+    const std::vector<PartKey> *parts = interruptedParts(crash);
+    return parts != nullptr && std::any_of(parts->begin(), parts->end(), [&](PartKey other) {
+        return other != crash.part && isCause(other);
+    });
+}
+
+bool PartQuarantine::isExplained(const PartCrash &crash) const
+{
+    return hasInterrupted(
+        crash, [&](PartKey other) { return m_verdicts.count(other) != 0 && !isMoreLikely(crash.part, other); });
+}
+
+bool PartQuarantine::isPassedOver(const PartCrash &crash) const
+{
+    return m_verdicts.count(crash.part) == 0 && isExplained(crash);
+}
+
+bool PartQuarantine::hasOtherCause(const PartCrash &crash) const
+{
+    return isExplained(crash) || hasInterrupted(crash, [&](PartKey other) {
+        return partPlace(other) >= partPlace(crash.part) && standing(other).crashes > 1
+            && isMoreLikely(other, crash.part);
     });
 }
 
@@ -281,11 +298,10 @@
 {
     std::vector<PartCrash> unexplained;
     for (const auto &crash : crashes) {
-        const std::vector<PartKey> *parts = interruptedParts(crash);
-        const auto isLaterCause = [this, part](PartKey other) {
-            return partPlace(other) > partPlace(part) && m_verdicts.count(other) != 0;
-        };
-        if (parts == nullptr || std::none_of(parts->begin(), parts->end(), isLaterCause)) {
+        const bool isExplainedElsewhere = hasInterrupted(crash, [&](PartKey other) {
+            return partPlace(other) != partPlace(part) && m_verdicts.count(other) != 0 && isMoreLikely(other, part);
+        });
+        if (!isExplainedElsewhere) {
             unexplained.push_back(crash);
         }
     }
@@ -294,21 +310,20 @@
 
 void PartQuarantine::judge(TimePoint now)
 {
-    std::unordered_map<PartKey, int> counts;
+    m_standings.clear();
     std::vector<PartKey> candidates;
     for (const auto &[part, suspect] : m_suspects) {
         if (suspect.crashes.size() < 2) {
             continue;
         }
         const int count = countCrashes(unansweredCrashes(part, suspect));
-        counts[part] = count;
+        m_standings[part] = {count, count + (answeredAt(part) ? 0 : NEVER_ANSWERED_WEIGHT)};
         if (count >= CRASH_LIMIT) {
             candidates.push_back(part);
         }
     }
-    const auto isNoCandidate = [&counts](PartKey part) {
-        const auto found = counts.find(part);
-        return found == counts.end() || found->second < CRASH_LIMIT;
+    const auto isNoCandidate = [this](PartKey part) {
+        return standing(part).crashes < CRASH_LIMIT;
     };
     std::vector<PartKey> cleared;
     for (const auto &[part, quarantine] : m_verdicts) {
@@ -317,19 +332,21 @@
         }
     }
     for (const PartKey part : cleared) {
-        spare(part, counts[part], m_suspects.count(part) != 0 ? PartAcquittal::Answered : PartAcquittal::Expired);
+        spare(part, m_suspects.count(part) != 0 ? PartAcquittal::Answered : PartAcquittal::Expired);
     }
     for (auto it = m_spared.begin(); it != m_spared.end();) {
         it = isNoCandidate(it->first) ? m_spared.erase(it) : std::next(it);
     }
-    std::sort(candidates.begin(), candidates.end(), [&counts](PartKey a, PartKey b) {
-        return std::make_tuple(-partPlace(a), -counts[a], a) < std::make_tuple(-partPlace(b), -counts[b], b);
+    // Quarantined parts explain the crashes of others, so those that explain most are judged first.
+    std::sort(candidates.begin(), candidates.end(), [this](PartKey a, PartKey b) {
+        return std::make_tuple(-standing(a).crashes, -partPlace(a), a)
+            < std::make_tuple(-standing(b).crashes, -partPlace(b), b);
     });
     for (const PartKey part : candidates) {
         const bool isKnown = m_verdicts.count(part) != 0;
         std::vector<PartCrash> counted = unansweredCrashes(part, m_suspects[part]);
         if (isKnown && !isQuarantineKept(part, counted)) {
-            spare(part, counts[part], PartAcquittal::OtherCause);
+            spare(part, PartAcquittal::OtherCause);
             continue;
         }
         if (!isKnown) {
@@ -341,21 +358,21 @@
                 continue;
             }
             const auto isExcused = [&](const PartCrash &crash) {
-                return hasOtherCause(crash, counts);
+                return hasOtherCause(crash);
             };
             counted.erase(std::remove_if(counted.begin(), counted.end(), isExcused), counted.end());
         }
         const int count = countCrashes(counted);
         if (count < CRASH_LIMIT) {
-            spare(part, counts[part], PartAcquittal::OtherCause);
+            spare(part, PartAcquittal::OtherCause);
             continue;
         }
         if (counted.back().at + QUARANTINE_TIME <= now) {
-            spare(part, counts[part], PartAcquittal::Expired);
+            spare(part, PartAcquittal::Expired);
             continue;
         }
         if (!isKnown && !isServiceWorking(part, counted.front().at)) {
-            spare(part, counts[part], PartAcquittal::TooFewOtherAnswers);
+            spare(part, PartAcquittal::TooFewOtherAnswers);
             continue;
         }
         m_spared.erase(part);
@@ -370,7 +387,7 @@
     }
 }
 
-void PartQuarantine::spare(PartKey part, int crashes, PartAcquittal reason)
+void PartQuarantine::spare(PartKey part, PartAcquittal reason)
 {
     const bool wasQuarantined = m_verdicts.erase(part) != 0;
     const auto [known, isNew] = m_spared.try_emplace(part, reason);
@@ -379,7 +396,7 @@
     }
     known->second = reason;
     if (m_newlySpared.size() < MAX_SPARED) {
-        m_newlySpared.push_back({part, crashes, reason, wasQuarantined, answeredAt(part).has_value()});
+        m_newlySpared.push_back({part, standing(part).crashes, reason, wasQuarantined, answeredAt(part).has_value()});
     }
 }
 
@@ -439,7 +456,7 @@
         std::vector<PartCrash> unanswered = unansweredCrashes(part, suspect);
         // A gateway that has just started would learn these without their cause.
         unanswered.erase(std::remove_if(unanswered.begin(), unanswered.end(),
-                             [this](const PartCrash &crash) { return isExplained(crash); }),
+                             [this](const PartCrash &crash) { return isPassedOver(crash); }),
             unanswered.end());
         if (countCrashes(unanswered) > 1) {
             repeatedParts.insert(part);
@@ -450,7 +467,7 @@
     for (const auto &crash : m_ownReports) {
         // Each crash of a part with several also explains why other prompts were interrupted.
         const bool isRepeated = repeatedParts.count(crash.part) != 0;
-        if (now < crash.at + (isRepeated ? FRESH_TIME : OWN_REPORT_TIME) && !isExplained(crash)) {
+        if (now < crash.at + (isRepeated ? FRESH_TIME : OWN_REPORT_TIME) && !isPassedOver(crash)) {
             own.push_back(crash);
         }
     }
--- a/src/gateway/partquarantine.h
+++ b/src/gateway/partquarantine.h
@@ -2,8 +2,9 @@
  * Finds parts of prompts that crash each endpoint which begins to answer a prompt with them, and quarantines them.
  *
  * A crash interrupts many prompts. Those whose answers had begun didn't cause it, and a part of which an answer has
- * begun since is sound. Of the other parts, the one that explains most crashes is the cause; where several explain the
- * same ones, it is the one that fewest prompts share. See docs/design/prompt-parts.md.
+ * begun since is sound. Of the other parts, the one that explains most crashes is the cause; where several explain about
+ * as many, it is one that has never been answered, or else the one that fewest prompts share. See
+ * docs/design/prompt-parts.md.
  */
 #pragma once
 
@@ -136,6 +137,12 @@
 
 private:
     static constexpr Duration FRESH_TIME = milliseconds(1500);
+    /** A part that was in this many crashes more than another one, weighted, is the more likely cause in any place. Of
+     * two parts of the same prompts, one is in one crash more if the report of a prompt is lost. */
+    static constexpr int CLEAR_LEAD = 2;
+    /** A part of which no answer is known counts like one with this many crashes more: few parts that were answered
+     * begin to crash endpoints. */
+    static constexpr int NEVER_ANSWERED_WEIGHT = 2;
 
     struct Suspect
     {
@@ -143,6 +150,14 @@
          * short intervals don't displace those before them. */
         std::vector<PartCrash> crashes;
     };
+    /** What speaks against a suspect. */
+    struct Standing
+    {
+        /** Crashes since its last answer. */
+        int crashes = 0;
+        /** `crashes`, and NEVER_ANSWERED_WEIGHT if no answer to a prompt with it is known. */
+        int weight = 0;
+    };
     struct Pending
     {
         std::string endpoint;
@@ -173,16 +188,30 @@
     void update(TimePoint now);
     void judge(TimePoint now);
     /** Ends the quarantine of a part, if there is one, and notes why it isn't refused. */
-    void spare(PartKey part, int crashes, PartAcquittal reason);
+    void spare(PartKey part, PartAcquittal reason);
     /** Drops one crash of a suspect that has too many. */
     void thinOut(PartKey part, std::vector<PartCrash> &crashes) const;
-    /** Whether `part` is still to be refused: answers and the crashes of later parts that were found meanwhile speak
-     * for it, other parts in the same place don't, since their numbers change with each crash. */
+    /** Whether `part` is still to be refused: answers and more likely parts that were found meanwhile speak for it,
+     * other parts in the same place don't, since their numbers change with each crash. */
     bool isQuarantineKept(PartKey part, const std::vector<PartCrash> &crashes) const;
-    /** Whether the crash has a more likely cause than its part, by the numbers of crashes in `counts`. */
-    bool hasOtherCause(const PartCrash &crash, const std::unordered_map<PartKey, int> &counts) const;
-    /** Whether a quarantined part caused the crash, and not its part. */
+    /** How the part stood at the last judgement; a part with a single report has no crashes there. */
+    Standing standing(PartKey part) const;
+    /**
+     * Whether `a` is rather the cause of crashes that interrupted prompts with either part: it was in clearly more
+     * crashes, where a part that has never been answered counts for more; or fewer prompts share it. This isn't a
+     * transitive order.
+     */
+    bool isMoreLikely(PartKey a, PartKey b) const;
+    /** Whether the crash interrupted a prompt with another part for which `isCause` holds. */
+    template<typename Predicate>
+    bool hasInterrupted(const PartCrash &crash, Predicate isCause) const;
+    /** Whether a quarantined part caused the crash, and its own part isn't more likely. */
     bool isExplained(const PartCrash &crash) const;
+    /** Whether the crash isn't reported to other gateways, since they know its cause. */
+    bool isPassedOver(const PartCrash &crash) const;
+    /** Whether the crash has a more likely cause than its part. Earlier parts count only if they are quarantined, since
+     * most of them are in many crashes. */
+    bool hasOtherCause(const PartCrash &crash) const;
     /** Notes that the part was in a prompt that the crash interrupted. */
     void noteInterrupted(const PartCrash &crash);
     /** The parts of the prompts that the crash interrupted. */
@@ -190,6 +219,8 @@
 
     /** Never holds a suspect without crashes. */
     std::unordered_map<PartKey, Suspect> m_suspects;
+    /** Of each suspect with more than one report, as of the last judgement. */
+    std::unordered_map<PartKey, Standing> m_standings;
     std::unordered_map<PartKey, Quarantine> m_verdicts;
     std::vector<PartVerdict> m_newVerdicts;
     /** The latest reason of each part with enough crashes that isn't refused. */
