Answers that other gateways report show that a service works

Cause: a first part is quarantined only after ten answers to prompts without it, as none is answered while a service is down. Each gateway counted its own answers alone, and those since the first crash only, so the fewer endpoints were up, the longer the part that took them down was let through.

Change: answers that other gateways report count, too. For a part that has never been answered, three answers since the first crash are enough if the gateway knows of ten in all.

Evidence: the replay of three endpoints in correctness_part_fleet failed before in five of five phases (4 to 7 late prompts), and holds now.

--- a/src/gateway/partquarantine.cpp
+++ b/src/gateway/partquarantine.cpp
@@ -122,11 +122,18 @@
 
 bool PartQuarantine::isServiceWorking(PartKey part, TimePoint since) const
 {
-    const auto isOther = [part, since](const PartAnswer &answer) {
-        return answer.part != part && answer.at > since;
-    };
-    return partPlace(part) > 0
-        || std::count_if(m_recentAnswers.begin(), m_recentAnswers.end(), isOther) >= OTHER_ANSWERS;
+    if (partPlace(part) > 0) {
+        return true;
+    }
+    int others = 0;
+    int othersSince = 0;
+    for (const auto &answer : m_recentAnswers) {
+        if (answer.part != part) {
+            ++others;
+            othersSince += answer.at > since ? 1 : 0;
+        }
+    }
+    return othersSince >= OTHER_ANSWERS || (!answeredAt(part) && others >= OTHER_ANSWERS && othersSince >= CRASH_LIMIT);
 }
 
 void PartQuarantine::merge(const PartEvidence &evidence, TimePoint now)
@@ -139,10 +146,22 @@
     for (const auto &answer : evidence.answers) {
         if (answer.at <= now) {
             noteAnswered(answer.part, answer.at);
+            noteAnsweredElsewhere(answer);
         }
     }
 }
 
+void PartQuarantine::noteAnsweredElsewhere(const PartAnswer &answer)
+{
+    const auto isSame = [&answer](const PartAnswer &known) {
+        return known.part == answer.part && known.at - answer.at < ANSWER_MARGIN
+            && answer.at - known.at < ANSWER_MARGIN;
+    };
+    if (partPlace(answer.part) == 0 && std::none_of(m_recentAnswers.begin(), m_recentAnswers.end(), isSame)) {
+        m_recentAnswers.push_back(answer);
+    }
+}
+
 void PartQuarantine::noteAnswered(PartKey part, TimePoint at)
 {
     if (m_answered.size() >= MAX_ANSWERED / 2 && m_answered.count(part) == 0) {
--- a/src/gateway/partquarantine.h
+++ b/src/gateway/partquarantine.h
@@ -2,8 +2,8 @@
  * Finds parts of prompts that crash each endpoint which begins to answer a prompt with them, and quarantines them.
  *
  * A crash interrupts many prompts. Those whose answers had begun didn't cause it, and a part of which an answer has
- * begun since is sound. Of the other parts, the one that explains most crashes is the cause; where several explain about
- * as many, it is one that has never been answered, or else the one that fewest prompts share. See
+ * begun since is sound. Of the other parts, the one that explains most crashes is the cause; where several explain
+ * about as many, it is one that has never been answered, or else the one that fewest prompts share. See
  * docs/design/prompt-parts.md.
  */
 #pragma once
@@ -92,7 +92,8 @@
     static constexpr std::size_t MAX_SPARED = 64;
     /**
      * Other prompts must have been answered so often since the first crash before the first part of a prompt is
-     * quarantined. Most prompts have one of a few first parts, and none is answered while a service is down.
+     * quarantined. Most prompts have one of a few first parts, and none is answered while a service is down. For a part
+     * that has never been answered, answers from before the crash count too, but for CRASH_LIMIT of them.
      */
     static constexpr int OTHER_ANSWERS = 10;
 
@@ -182,6 +183,8 @@
     /** Whether the service works for prompts without the part, as far as this has to be known to quarantine it. */
     bool isServiceWorking(PartKey part, TimePoint since) const;
     void noteAnswered(PartKey part, TimePoint at);
+    /** Adds another gateway's answer to the latest ones. Several gateways may pass the same one on. */
+    void noteAnsweredElsewhere(const PartAnswer &answer);
     /** The crashes after which no answer to a prompt with the part has begun. */
     std::vector<PartCrash> unansweredCrashes(PartKey part, const Suspect &suspect) const;
     /** Judges all suspects anew if the evidence or its age may have changed the result. */
--- a/test/correctness/part_fleet.cpp
+++ b/test/correctness/part_fleet.cpp
@@ -326,3 +326,23 @@
         }
     }
 }
+
+TEST_CASE("a bad template in front of three endpoints")
+{
+    for (int phaseMs = 0; phaseMs < 1000; phaseMs += 200) {
+        PartFleet fleet(4, 3, "bad-template");
+        const auto document = [](int number) {
+            return "document-" + std::to_string(number % 40);
+        };
+        fleet.run({{[&](int number, int) {
+                        return std::vector<std::string>{"template-" + std::to_string(number % 4), document(number)};
+                    },
+                       "team-1", 0, 250, true},
+                      {[&](int number, int) {
+                           return std::vector<std::string>{"bad-template", document(number * 7)};
+                       },
+                          "team-1", BAD_SINCE_MS + phaseMs, 1000}},
+            END_MS);
+        requireRulesHold(fleet, phaseMs);
+    }
+}
