A response without a length isn't complete if the request was still under way

Callers saw: an endpoint answers a long upload at once with a 200 without a length, sends a part of the body, ends its sending side and closes a little later: 200 with the part as a whole answer (MIXED), three of three at the gateway.

Cause: such a response ends with its connection, and any end in order counted. The end arrives before the reset that follows it, so the reset, by which a cut response is known, can't be seen yet.

Change: an end in order counts only if the endpoint's system has acknowledged the whole request, counting what the operating system still holds. A server that ends a connection with a part of the request under way hasn't read it and may reset it next. Otherwise the connection is lost: 502, or sent again where the route allows it.

A response that ends after the request was received is complete as before.

--- a/src/transport/httpclientconnection.cpp
+++ b/src/transport/httpclientconnection.cpp
@@ -192,8 +192,10 @@
         fail(reason == DisconnectReason::Refused ? ExchangeFailure::Refused : ExchangeFailure::NotConnected);
         return;
     }
-    const bool isComplete
-        = reason == DisconnectReason::ClosedByPeer && m_headHandled && !shouldSkipResponse() && m_parser->finishAtEof();
+    // A server that ends the connection before it has received the request may reset it next, so that the end of a
+    // response without a length isn't known.
+    const bool isComplete = reason == DisconnectReason::ClosedByPeer && m_connection->undeliveredOutput() == 0
+        && m_headHandled && !shouldSkipResponse() && m_parser->finishAtEof();
     if (!isComplete) {
         fail(ExchangeFailure::ConnectionLost);
         return;
--- a/src/transport/tcpconnection.h
+++ b/src/transport/tcpconnection.h
@@ -81,6 +81,8 @@
     {
         return m_output.size() - m_outputSent + (m_body ? m_body->size() - m_bodySent : 0);
     }
+    /** Number of written bytes of which the peer's operating system hasn't acknowledged the receipt. */
+    std::size_t undeliveredOutput() const;
     /** Whether the peer has closed or reset the connection, by what the operating system knows now. False while unread
      * bytes precede the close. */
     bool isClosedByPeer();
--- a/test/error/partly_sent_requests.cpp
+++ b/test/error/partly_sent_requests.cpp
@@ -93,12 +93,12 @@
 };
 
 /** Sends a long request and runs the loop until its exchange has ended; `connection` stays open. */
-Listener exchangeLongRequest(EventLoop &loop, HttpClientConnection &connection)
+Listener exchangeLongRequest(EventLoop &loop, HttpClientConnection &connection, std::size_t bodyBytes = LONG_BODY_BYTES)
 {
     HttpRequestHead head{"POST", "/", {}};
     head.fields.add("Host", "h.example");
     Listener listener;
-    connection.send(head, std::string(LONG_BODY_BYTES, 'r'), &listener);
+    connection.send(head, std::string(bodyBytes, 'r'), &listener);
     const TimePoint end = monotonicTime() + TIMEOUT;
     while (!listener.isDone && !listener.failure && monotonicTime() < end) {
         loop.runOnce(milliseconds(20));
@@ -192,6 +192,40 @@
     CHECK(listener.failure == ExchangeFailure::ConnectionLost);
 }
 
+// The end of the response came before the reset, so a part of it was taken for the whole.
+TEST_CASE("a response without a length isn't complete if the server ends it before it has received the request")
+{
+    // The smaller body is in the buffers of the operating system, the larger one in part only.
+    for (const std::size_t bodyBytes : {std::size_t(100000), LONG_BODY_BYTES}) {
+        CAPTURE(bodyBytes);
+        SlowServer server([](Poco::Net::StreamSocket &connection) {
+            readHead(connection);
+            sendText(connection, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\na part");
+            connection.shutdownSend();
+            std::this_thread::sleep_for(milliseconds(300));
+        });
+        EventLoop loop;
+        HttpClientConnection connection(loop, server.address(), LIMITS, TIMEOUT);
+        const Listener listener = exchangeLongRequest(loop, connection, bodyBytes);
+        CHECK_FALSE(listener.isDone);
+        CHECK(listener.failure == ExchangeFailure::ConnectionLost);
+    }
+}
+
+TEST_CASE("a response without a length is complete if the server ends it after it has received the request")
+{
+    SlowServer server([](Poco::Net::StreamSocket &connection) {
+        readHead(connection);
+        readBody(connection, LONG_BODY_BYTES);
+        sendText(connection, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nwhole");
+    });
+    EventLoop loop;
+    HttpClientConnection connection(loop, server.address(), LIMITS, TIMEOUT);
+    const Listener listener = exchangeLongRequest(loop, connection);
+    CHECK(listener.isDone);
+    CHECK(listener.body == "whole");
+}
+
 // The response to a request that wasn't sent whole could still be read, and the connection kept.
 TEST_CASE("the blocking client closes a connection over which a request wasn't sent whole")
 {
--- a/test/error/processes_unframed.py
+++ b/test/error/processes_unframed.py
@@ -6,11 +6,15 @@
 import sys
 import threading
 import time
+from io import BytesIO
 
-from gatewayfleet import Endpoint, Gateway, Store, configuration, eventually, route, run_tests
+from gatewayfleet import (Endpoint, Gateway, Store, answers_report, configuration, eventually, read_request, route,
+                          run_tests)
 
 BUILD = sys.argv[1]
 EVENT = "id: {0}\ndata: {0}\n\n"
+# Takes a gateway longer to send than an endpoint that reads nothing makes room for.
+UPLOAD_BYTES = 8 << 20
 
 
 def head(request, content_type):
@@ -25,19 +29,31 @@
     raise ConnectionResetError
 
 
-def response_of(route_item, script, gateways=()):
+class EarlyEndpoint(Endpoint):
+    """An endpoint that calls its script once it has the head of a request, and reads nothing of the body."""
+
+    def serve(self, connection, stream):
+        head_only = BytesIO(b"".join(iter(stream.readline, b"\r\n")).replace(b"Content-Length", b"Length") + b"\r\n")
+        request = read_request(head_only)
+        if not answers_report(connection, request, self.born):
+            self.script(connection, request)
+
+
+def response_of(route_item, script, gateways=(), endpoint_type=Endpoint, body="text"):
     """Returns what a caller gets if the only endpoint of the route responds by `script(connection, request)`.
 
     The gateway is appended to the list `gateways`, if there is one.
     """
-    store, endpoint = Store(), Endpoint(script)
+    store, endpoint = Store(), endpoint_type(script)
     store.put("servers/e-0", endpoint.registration(route_item["service"]))
-    store.put("op/config", configuration(1, [route_item]))
+    document = configuration(1, [route_item])
+    document["limits"]["max_body_bytes"] = 2 * UPLOAD_BYTES
+    store.put("op/config", document)
     gateway = Gateway(BUILD, store)
     gateways += [gateway] if isinstance(gateways, list) else ()
     try:
         eventually(gateway.is_ready, "readiness")
-        status, body, _ = gateway.call("POST", f"/{route_item['name']}/x", "text")
+        status, body, _ = gateway.call("POST", f"/{route_item['name']}/x", body)
         return status, body
     finally:
         gateway.stop()
@@ -108,5 +124,18 @@
     assert response_of(plain, cut)[0] == 502
 
 
+def response_that_ends_while_the_request_is_being_sent_isnt_complete():
+    # The end of the response arrives before the reset that follows, and was taken for that of a whole response.
+    def end_early(connection, request):
+        connection.sendall(head(request, "text/plain") + b"a part")
+        connection.shutdown(socket.SHUT_WR)
+        time.sleep(0.5)
+
+    for kind in ("non_idempotent", "idempotent"):
+        upload = route("upload", "model", kind, max_attempts=1, timeout_ms=4000, slo_ms=4000)
+        status, body = response_of(upload, end_early, endpoint_type=EarlyEndpoint, body="u" * UPLOAD_BYTES)
+        assert status == 502, (kind, status, body)
+
+
 if __name__ == "__main__":
-    sys.exit(run_tests(("head", "reset", "response_of", "stream_route", "stream_script"), sys.argv[2:]))
+    sys.exit(run_tests(("EarlyEndpoint", "head", "reset", "response_of", "stream_route", "stream_script"), sys.argv[2:]))
