A response whose status isn't between 100 and 599 fails its attempt

Callers saw: an endpoint in trouble answers with status 000, 007 or 099, and its callers wait for their deadline (504 in 12 of 12 requests), or get the 200 that follows on the same connection.

Cause: the parser accepts any three digits, and a status below 200 counted as one of an interim response, for which the gateway waits on.

Change: the parser refuses such a head, which RFC 9110 calls invalid, so the attempt fails at once as malformed: 502, or sent again where the route allows it. The log line response_unreadable says what is wrong with a response; no line did.

Evidence: on the code before, 40 of 72 requests to such endpoints failed the new process test, with 504, 200, 600 and 999, and five statuses the parser's test.

--- a/src/gateway/requestflow.h
+++ b/src/gateway/requestflow.h
@@ -46,6 +46,7 @@
     bool isStillWanted() override;
     bool matchesRequest(const HttpResponseHead &head, bool isFirst) override;
     void headSkipped(const HttpResponseHead &head) override;
+    void responseUnreadable(const char *reason) override;
     void headReceived(const HttpResponseHead &head) override;
     void bodyReceived(std::string piece) override;
     void exchangeDone(bool isReusable) override;
--- a/src/gateway/requestflowresponse.cpp
+++ b/src/gateway/requestflowresponse.cpp
@@ -135,6 +135,18 @@
     }
 }
 
+void RequestFlow::responseUnreadable(const char *reason)
+{
+    m_gateway.metrics().count("cyclamenturn_unreadable_responses");
+    if (m_gateway.logBudget().allows(true, m_gateway.loop().now())) {
+        LogEvent("response_unreadable", LogEvent::Level::Warning)
+            .field("request", m_traits.attemptId)
+            .field("endpoint", m_endpoint.id)
+            .field("reason", reason)
+            .field("after_ms", toMilliseconds(m_gateway.loop().now() - m_sentAt));
+    }
+}
+
 void RequestFlow::noteUnreadableLoad()
 {
     m_gateway.metrics().count("cyclamenturn_unreadable_loads");
--- a/src/transport/httpclientconnection.cpp
+++ b/src/transport/httpclientconnection.cpp
@@ -127,6 +127,7 @@
     try {
         m_parser->consume(m_connection->input());
     } catch (const HttpSyntaxError &error) {
+        m_listener->responseUnreadable(error.what());
         const bool isTooLarge = error.status() == BODY_TOO_LARGE || error.status() == HEADER_TOO_LARGE;
         fail(isTooLarge ? ExchangeFailure::TooLarge : ExchangeFailure::Malformed);
         return false;
--- a/src/transport/httpclientconnection.h
+++ b/src/transport/httpclientconnection.h
@@ -30,7 +30,7 @@
 
 /**
  * Receives one response. The listener may destroy the connection from within any of these functions except
- * matchesRequest() and headSkipped().
+ * matchesRequest(), headSkipped() and responseUnreadable().
  */
 class ExchangeListener
 {
@@ -54,6 +54,10 @@
     virtual void headSkipped(const HttpResponseHead &)
     {
     }
+    /** The response is malformed or too large; exchangeFailed() follows. */
+    virtual void responseUnreadable(const char *)
+    {
+    }
     virtual void headReceived(const HttpResponseHead &head) = 0;
     /** Called for each part of the body as it is received. */
     virtual void bodyReceived(std::string data) = 0;
--- a/src/transport/httpparser.cpp
+++ b/src/transport/httpparser.cpp
@@ -21,6 +21,9 @@
 constexpr int BODY_TOO_LARGE = 413;
 constexpr int HEADER_TOO_LARGE = 431;
 constexpr int NOT_IMPLEMENTED = 501;
+/** Statuses outside of this range are invalid (RFC 9110, 15). */
+constexpr int MIN_STATUS = 100;
+constexpr int MAX_STATUS = 599;
 
 std::string toStdString(boost::beast::string_view view)
 {
@@ -144,6 +147,9 @@
     }
     void on_response_impl(int code, View reason, int, ErrorCode &) override
     {
+        if (code < MIN_STATUS || code > MAX_STATUS) {
+            throw HttpSyntaxError("the status isn't between 100 and 599", BAD_REQUEST);
+        }
         response.status = code;
         response.reason = toStdString(reason);
     }
--- a/test/correctness/httpparser.cpp
+++ b/test/correctness/httpparser.cpp
@@ -133,3 +133,26 @@
     splitter.add("x");
     CHECK(splitter.isTooLong());
 }
+
+// A status below 100 was taken for that of an interim response, and the response that followed for the final one.
+TEST_CASE("a response has a status between 100 and 599")
+{
+    const auto isAccepted = [](const std::string &status) {
+        HttpParser parser = HttpParser::forResponse(LIMITS, false);
+        std::string input = "HTTP/1.1 " + status + " X\r\nContent-Length: 0\r\n\r\n";
+        try {
+            parser.consume(input);
+        } catch (const HttpSyntaxError &) {
+            return false;
+        }
+        return parser.isDone();
+    };
+    for (const char *status : {"100", "199", "200", "404", "599"}) {
+        CAPTURE(status);
+        CHECK(isAccepted(status));
+    }
+    for (const char *status : {"000", "007", "099", "600", "999", "20", "1000", "2x0", "-20", ""}) {
+        CAPTURE(status);
+        CHECK_FALSE(isAccepted(status));
+    }
+}
--- a/test/error/processes_torn_responses.py
+++ b/test/error/processes_torn_responses.py
@@ -244,5 +244,26 @@
     with_fleet(test)
 
 
+# A status below 100 was taken for that of an interim response, and callers waited for their deadline.
+def a_status_that_is_none_fails_the_attempt_at_once():
+    def test(fleet):
+        failures = []
+        for status, is_followed in itertools.product(("000", "007", "099", "20", "1000", "2x0", "-20", "600", "999"), (False, True)):
+            def answer(connection, request):
+                response = head(request, status, length(BODY)) + BODY
+                connection.sendall(response + (head(request, 200, length(b"ok")) + b"ok" if is_followed else b""))
+                return True
+
+            fleet.first = fleet.second = answer
+            for target in ("/read/x", "/send/x", "/draft/x", "/once/x"):
+                result = fleet.call(target)[0]
+                if result != 502:
+                    failures.append((status, is_followed, target, result))
+        assert not failures, (len(failures), failures)
+        unreadable = fleet.gateway.log_lines("response_unreadable")
+        assert any("status" in line for line in unreadable), unreadable[:3]
+    with_fleet(test)
+
+
 if __name__ == "__main__":
     sys.exit(run_tests(("Fleet", "with_fleet", "end", "head", "length", "event", "frame", "first_part"), sys.argv[2:]))
