The blocking client takes no cut response for a whole one, and keeps no endless one

Callers of the own interface saw, from the code before: responses of plain services that were cut in a chunked body, or by length with the field's name in lower case, were whole answers; so were heads that stopped, 103 and statuses 600 and 999.

Cause: Poco's session reads a response as an istream, which ends at the end of the connection. It tells neither whether the body is whole nor how much of it is read before a line is complete.

Change: the client reads from the socket with the strict parser that gateways use, so both kinds of client accept and refuse the same. A head takes at most 64 KB and 16 interim responses, a line 1 MB, a body 64 MB (frames between agent and entry 96 and 128 MB). A response without a length counts only if the server's system has received the whole request. Errors are ExchangeBrokenError, as before.

--- a/src/agentattempt.cpp
+++ b/src/agentattempt.cpp
@@ -22,6 +22,8 @@
 /** The receive timeout exceeds several keep-alive intervals of the agent, so one late frame does not end the read. */
 constexpr HttpTimeouts CALL_TIMEOUTS{milliseconds(300), milliseconds(2000)};
 constexpr HttpTimeouts CANCEL_TIMEOUTS{milliseconds(200), milliseconds(200)};
+/** A frame holds the whole body of a plain response, which base64 makes a third longer. */
+constexpr ResponseLimits FRAME_LIMITS{std::size_t(128) << 20, std::size_t(96) << 20};
 constexpr int MAX_RESUMES = 3;
 
 }
@@ -49,7 +51,7 @@
 
 AttemptResult AgentAttempt::run(bool handshake)
 {
-    HttpConnection connection(m_agent, CALL_TIMEOUTS);
+    HttpConnection connection(m_agent, CALL_TIMEOUTS, FRAME_LIMITS);
     if (handshake && !performHandshake(connection)) {
         return AttemptNeverSent();
     }
@@ -162,7 +164,7 @@
 {
     const std::string path = "/v1/calls/" + m_header.call.id + "?from=" + std::to_string(m_header.piecesDelivered);
     try {
-        HttpConnection connection(m_agent, CALL_TIMEOUTS);
+        HttpConnection connection(m_agent, CALL_TIMEOUTS, FRAME_LIMITS);
         const HttpResponse response = connection.begin(authorizedRequest("GET", path));
         return response.status == HTTP_OK ? readFrames(connection) : ReadResult::ConnectionBroken;
     } catch (const std::runtime_error &) {
--- a/src/httpexchange.h
+++ b/src/httpexchange.h
@@ -1,15 +1,16 @@
 /** \file
- * HTTP client with timeouts for every step. Its exceptions distinguish requests that the server cannot have handled
- * from those that it may have handled.
+ * HTTP client with timeouts for every step and limits for every part of a response. Its exceptions distinguish requests
+ * that the server cannot have handled from those that it may have handled.
  */
 #pragma once
 
 #include "address.h"
 #include "timepoint.h"
 
-#include <istream>
+#include <cstddef>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 
 namespace Cyclamenturn
@@ -39,32 +40,42 @@
     Duration receive = milliseconds(2000);
 };
 
+/** The largest body and the longest line of a body that are read. */
+struct ResponseLimits
+{
+    std::size_t bodyBytes = std::size_t(64) << 20;
+    std::size_t lineBytes = std::size_t(1) << 20;
+};
+
 /**
  * A connection to one server. Not thread-safe, except that interrupt() may be called from another thread.
  *
  * Its functions throw ConnectionRefusedError if the server cannot have handled any part of the request, and
- * ExchangeBrokenError on any other failure.
+ * ExchangeBrokenError on any other failure, also if the response is malformed, cut or larger than the limits.
  */
 class HttpConnection
 {
 public:
-    HttpConnection(const Address &address, const HttpTimeouts &timeouts);
+    HttpConnection(const Address &address, const HttpTimeouts &timeouts, const ResponseLimits &limits = {});
     ~HttpConnection();
 
     /** Connects unless already connected. Only needed to check a condition after connecting and before sending. */
     void connect();
 
-    /** Sets HttpTimeouts::receive for all following reads and writes. Connects if not yet connected. */
+    /** Sets HttpTimeouts::receive for all following reads and writes. Connects if not yet connected. Not to be called
+     * while a response is being read. */
     void setReceiveTimeout(Duration timeout);
 
     /** Sends a request and reads the whole response. */
     HttpResponse exchange(const HttpRequest &request);
 
-    /** Sends a request and reads the head of the response. The body of the result is empty; read it from stream(). */
+    /** Sends a request and reads the head of the response. The body of the result is empty; read it from the
+     * connection. */
     HttpResponse begin(const HttpRequest &request);
-    std::istream &stream();
-
-    /** Reads one line of the body. Returns false at the end of the body, on a timeout, and if the connection breaks. */
+    /** Reads the rest of the body. */
+    std::string readBody();
+    /** Reads one line of the body. Returns false at the end of the body, on a timeout, if the connection breaks or the
+     * response is malformed, and if the line or the body exceeds its limit. */
     bool readLine(std::string &line);
 
     /** Shuts down the connection, which ends a blocked read in another thread. */
@@ -73,10 +84,17 @@
 private:
     class Session;
 
+    void replaceSession(std::unique_ptr<Session> session);
+    /** Closes the connection and throws ExchangeBrokenError. */
+    [[noreturn]] void fail(const std::string &reason);
+
     Address m_address;
     HttpTimeouts m_timeouts;
+    ResponseLimits m_limits;
+    /** Guards the pointer for interrupt(). */
+    std::mutex m_mutex;
+    /** Null while there is no connection. */
     std::unique_ptr<Session> m_session;
-    std::istream *m_stream = nullptr;
 };
 
 /** Performs one exchange over a new connection. */
--- a/src/transport/tcpconnection.cpp
+++ b/src/transport/tcpconnection.cpp
@@ -3,15 +3,14 @@
  */
 #include "tcpconnection.h"
 
+#include "socketoutput.h"
+
 #include <Poco/Exception.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/PollSet.h>
 
-#include <algorithm>
 #include <cerrno>
-#include <linux/sockios.h>
 #include <netinet/tcp.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace Cyclamenturn
@@ -108,13 +107,7 @@
 
 std::size_t TcpConnection::undeliveredOutput() const
 {
-    int unacknowledged = 0;
-    try {
-        m_socket.impl()->ioctl(SIOCOUTQ, unacknowledged);
-    } catch (const Poco::Exception &) { // a system that doesn't tell has only the buffered output counted
-        unacknowledged = 0;
-    }
-    return pendingOutput() + static_cast<std::size_t>(std::max(unacknowledged, 0));
+    return pendingOutput() + unacknowledgedBytes(m_socket);
 }
 
 void TcpConnection::resetOnClose()
--- a/tools/loadclient.cpp
+++ b/tools/loadclient.cpp
@@ -197,7 +197,7 @@
     /** Reads a response that isn't a stream of events. */
     void readBody(HttpConnection &connection, const HttpResponse &response)
     {
-        std::string body((std::istreambuf_iterator<char>(connection.stream())), std::istreambuf_iterator<char>());
+        const std::string body = connection.readBody();
         if (response.status < HTTP_OK || response.status > HTTP_LAST_SUCCESS) {
             const Json::Value error = parseJson(body)["error"];
             m_retryAfter = milliseconds(error.get("retry_after_ms", 0).asInt64());
