Responses that an entry or an agent reads share a quarter of its VM's memory

Cause: one response had limits at most, 64 MB for a plain one. Nothing bounded what a process keeps of all of them. Results of calls between processes had no limit at all.

Change: HttpConnection counts the bodies that it has received and not returned yet, and breaks off the response that exceeds a quarter of memory_mb. The account is that of the gateway, which can now be used by several threads. The JSON-RPC client uses HttpConnection, so its results have the same limits.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -24,7 +24,6 @@
 #include "placement.h"
 #include "promptadmission.h"
 #include "registration.h"
-#include "responsememory.h"
 #include "retrywindow.h"
 #include "stopplan.h"
 #include "storelink.h"
@@ -36,6 +35,7 @@
 #include "logbudget.h"
 #include "metrics.h"
 #include "transport/httpserver.h"
+#include "transport/responsememory.h"
 
 #include <memory>
 #include <optional>
--- a/src/httpexchange.cpp
+++ b/src/httpexchange.cpp
@@ -5,12 +5,14 @@
 
 #include "errors.h"
 #include "transport/httpparser.h"
+#include "transport/responsememory.h"
 #include "transport/socketoutput.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/StreamSocket.h>
 
+#include <limits>
 #include <optional>
 #include <string_view>
 #include <utility>
@@ -29,6 +31,13 @@
 /** Responses with a lower status are interim ones. */
 constexpr int FIRST_FINAL_STATUS = 200;
 
+/** What the bodies take that connections of this process have received and not returned yet. */
+ResponseMemory &responseMemory()
+{
+    static ResponseMemory memory(std::numeric_limits<std::size_t>::max());
+    return memory;
+}
+
 Poco::Timespan timespan(Duration duration)
 {
     return Poco::Timespan(duration.count());
@@ -63,6 +72,12 @@
         m_socket.setNoDelay(true);
         setTimeout(timeouts.receive);
     }
+    ~Session()
+    {
+        clearBody();
+    }
+    Session(const Session &) = delete;
+    Session &operator=(const Session &) = delete;
 
     void setTimeout(Duration timeout)
     {
@@ -83,8 +98,7 @@
     {
         m_isHeadRequest = isHeadRequest;
         m_parser.emplace(HttpParser::forResponse(m_limits, m_isHeadRequest));
-        m_body.clear();
-        m_bodyRead = 0;
+        clearBody();
         while (!bytes.empty()) {
             const int sent = m_socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
             bytes.remove_prefix(static_cast<std::size_t>(sent));
@@ -114,10 +128,9 @@
             receive();
             takeBody();
         }
-        std::string out = std::move(m_body).substr(m_bodyRead);
-        m_body.clear();
-        m_bodyRead = 0;
-        return out;
+        discardReadPart();
+        responseMemory().release(m_body.size());
+        return std::exchange(m_body, std::string());
     }
 
     /** Reads a line and removes its end. Returns false at the end of the body. */
@@ -129,8 +142,7 @@
             if (m_body.size() - m_bodyRead > maxBytes) {
                 throw Poco::Net::MessageException("a line of the body is too long");
             }
-            m_body.erase(0, m_bodyRead);
-            m_bodyRead = 0;
+            discardReadPart();
             searched = m_body.size();
             receive();
             takeBody();
@@ -169,7 +181,25 @@
 
     void takeBody()
     {
-        m_body += m_parser->takeBody();
+        const std::string data = m_parser->takeBody();
+        if (!responseMemory().tryReserve(m_body.size(), data.size())) {
+            throw Poco::Net::MessageException("the responses of this process take too much memory");
+        }
+        m_body += data;
+    }
+
+    void discardReadPart()
+    {
+        responseMemory().release(m_bodyRead);
+        m_body.erase(0, m_bodyRead);
+        m_bodyRead = 0;
+    }
+
+    void clearBody()
+    {
+        responseMemory().release(m_body.size());
+        m_body.clear();
+        m_bodyRead = 0;
     }
 
     HttpLimits m_limits;
@@ -300,6 +330,11 @@
     }
 }
 
+void limitResponseMemory(std::size_t bytes)
+{
+    responseMemory().setCapacity(bytes);
+}
+
 HttpResponse httpExchange(const Address &address, const HttpRequest &request, const HttpTimeouts &timeouts)
 {
     HttpConnection connection(address, timeouts);
--- a/src/httpexchange.h
+++ b/src/httpexchange.h
@@ -97,6 +97,10 @@
     std::unique_ptr<Session> m_session;
 };
 
+/** Limits the memory of all responses that this process reads at the same time; small ones are read in any case. At
+ * first, only each of them is limited. */
+void limitResponseMemory(std::size_t bytes);
+
 /** Performs one exchange over a new connection. */
 HttpResponse httpExchange(const Address &address, const HttpRequest &request, const HttpTimeouts &timeouts);
 
--- a/src/rpcclient.cpp
+++ b/src/rpcclient.cpp
@@ -1,13 +1,12 @@
 /** \file
- * JSON-RPC client based on Poco::Net. Compiled as C++14, as libjsonrpccpp's client headers don't compile as C++17.
+ * JSON-RPC client. Compiled as C++14, as libjsonrpccpp's client headers don't compile as C++17.
  */
 #include "rpcclient.h"
 
-#include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/StreamCopier.h>
+#include "httpexchange.h"
+
 #include <jsonrpccpp/client.h>
+#include <stdexcept>
 
 namespace Cyclamenturn
 {
@@ -15,45 +14,38 @@
 namespace
 {
 
-constexpr int MICROSECONDS_PER_MILLISECOND = 1000;
+constexpr int HTTP_OK = 200;
 
 /** Sends a JSON-RPC message as an HTTP request and returns the body of the response. */
-class PocoConnector : public jsonrpc::IClientConnector
+class HttpConnector : public jsonrpc::IClientConnector
 {
 public:
-    explicit PocoConnector(const RpcTarget &target)
+    explicit HttpConnector(const RpcTarget &target)
         : m_target(target)
     {
     }
 
     void SendRPCMessage(const std::string &message, std::string &result) throw(jsonrpc::JsonRpcException) override
     {
+        HttpRequest request;
+        request.method = "POST";
+        request.path = "/rpc";
+        request.headers["Authorization"] = "Bearer " + m_target.fleetKey;
+        request.body = message;
+        const Duration timeout = milliseconds(m_target.timeoutMs);
         try {
-            exchange(message, result);
-        } catch (const Poco::Exception &error) {
-            throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_CLIENT_CONNECTOR, error.displayText());
+            const HttpResponse response
+                = httpExchange({m_target.host, m_target.port}, request, HttpTimeouts{timeout, timeout});
+            if (response.status != HTTP_OK) {
+                throw std::runtime_error("HTTP status " + std::to_string(response.status));
+            }
+            result = response.body;
+        } catch (const std::runtime_error &error) {
+            throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_CLIENT_CONNECTOR, error.what());
         }
     }
 
 private:
-    void exchange(const std::string &message, std::string &result)
-    {
-        Poco::Net::HTTPClientSession session(m_target.host, static_cast<Poco::UInt16>(m_target.port));
-        const Poco::Timespan timeout(m_target.timeoutMs * MICROSECONDS_PER_MILLISECOND);
-        session.setTimeout(timeout, timeout, timeout);
-        Poco::Net::HTTPRequest request("POST", "/rpc", Poco::Net::HTTPMessage::HTTP_1_1);
-        request.setContentType("application/json");
-        request.setContentLength(static_cast<std::streamsize>(message.size()));
-        request.set("Authorization", "Bearer " + m_target.fleetKey);
-        session.sendRequest(request) << message << std::flush;
-        Poco::Net::HTTPResponse response;
-        std::istream &body = session.receiveResponse(response);
-        Poco::StreamCopier::copyToString(body, result);
-        if (response.getStatus() != Poco::Net::HTTPResponse::HTTP_OK) {
-            throw Poco::Exception("HTTP status " + std::to_string(response.getStatus()));
-        }
-    }
-
     RpcTarget m_target;
 };
 
@@ -62,7 +54,7 @@
 Json::Value callRpc(const RpcTarget &target, const std::string &method, const Json::Value &parameters)
 {
     try {
-        PocoConnector connector(target);
+        HttpConnector connector(target);
         jsonrpc::Client client(connector);
         return client.CallMethod(method, parameters);
     } catch (const std::exception &error) {
--- a/src/gateway/responsememory.h
+++ b/src/transport/responsememory.h
@@ -3,12 +3,13 @@
  */
 #pragma once
 
-#include <algorithm>
+#include <atomic>
 #include <cstddef>
 
 namespace Cyclamenturn
 {
 
+/** Thread-safe. */
 class ResponseMemory
 {
 public:
@@ -17,18 +18,33 @@
     /** Responses up to this size are collected in any case. */
     static constexpr std::size_t SMALL_RESPONSE_BYTES = 65536;
 
+    /** A quarter of a VM's memory, in bytes. */
+    static constexpr std::size_t capacityOf(std::size_t vmMegabytes)
+    {
+        return (vmMegabytes << 20) / 4;
+    }
+    explicit ResponseMemory(std::size_t capacityBytes = CAPACITY_BYTES)
+        : m_capacity(capacityBytes)
+    {
+    }
+
+    void setCapacity(std::size_t bytes)
+    {
+        m_capacity = bytes;
+    }
     /** Reserves `bytes` for a response that has `ownBytes` already. Returns false if too much is in use. */
     bool tryReserve(std::size_t ownBytes, std::size_t bytes)
     {
-        if (ownBytes + bytes > SMALL_RESPONSE_BYTES && m_used + bytes > CAPACITY_BYTES) {
+        const std::size_t used = m_used.fetch_add(bytes);
+        if (ownBytes + bytes > SMALL_RESPONSE_BYTES && used + bytes > m_capacity) {
+            m_used -= bytes;
             return false;
         }
-        m_used += bytes;
         return true;
     }
     void release(std::size_t bytes)
     {
-        m_used -= std::min(bytes, m_used);
+        m_used -= bytes;
     }
     std::size_t used() const
     {
@@ -36,7 +52,8 @@
     }
 
 private:
-    std::size_t m_used = 0;
+    std::atomic<std::size_t> m_capacity;
+    std::atomic<std::size_t> m_used{0};
 };
 
 }
--- a/test/error/blocking_client.cpp
+++ b/test/error/blocking_client.cpp
@@ -4,6 +4,7 @@
  */
 #include "errors.h"
 #include "httpexchange.h"
+#include "rpcclient.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/ServerSocket.h>
@@ -11,6 +12,7 @@
 #include <catch2/catch.hpp>
 
 #include <functional>
+#include <limits>
 #include <string>
 #include <thread>
 
@@ -188,6 +190,46 @@
     CHECK(flood(HEAD + "\r\n", std::string(65535, 'x') + "\n", readLines) < ENDLESS_BYTES);
 }
 
+// Each response kept to its own limit, and all of them together took many times the memory of the VM.
+TEST_CASE("responses that are read at the same time share a limit, which small ones don't meet")
+{
+    const auto bodyOf = [](std::size_t bytes) {
+        OneShotServer server([bytes](Poco::Net::StreamSocket &connection) {
+            sendText(
+                connection, HEAD + "Content-Length: " + std::to_string(bytes) + "\r\n\r\n" + std::string(bytes, 'x'));
+        });
+        return httpExchange(server.address(), HttpRequest(), TIMEOUTS).body;
+    };
+    limitResponseMemory(1000000);
+    CHECK_THROWS_AS(bodyOf(1100000), ExchangeBrokenError);
+    {
+        OneShotServer server([](Poco::Net::StreamSocket &connection) {
+            sendText(connection, HEAD + "\r\n" + std::string(900000, 'x') + "\n");
+        });
+        HttpConnection connection(server.address(), TIMEOUTS);
+        connection.begin(HttpRequest());
+        std::string line;
+        // The connection keeps the line until the next one is read.
+        REQUIRE(connection.readLine(line));
+        CHECK_THROWS_AS(bodyOf(200000), ExchangeBrokenError);
+        CHECK(bodyOf(60000).size() == 60000);
+        CHECK_FALSE(connection.readLine(line));
+    }
+    CHECK(bodyOf(900000).size() == 900000);
+    limitResponseMemory(std::numeric_limits<std::size_t>::max());
+}
+
+// The client kept all of it, until its process ran out of memory.
+TEST_CASE("a result of a call without end fails the call")
+{
+    const std::size_t sent = flood(HEAD + "\r\n", std::string(65536, 'x'), [](const Address &address) {
+        CHECK_THROWS_AS(
+            callRpc({address.host, address.port, "key", 1000}, "process_status", Json::Value(Json::objectValue)),
+            RpcError);
+    });
+    CHECK(sent < ENDLESS_BYTES);
+}
+
 TEST_CASE("the lines of a body are read until its end, and no part of a line that was cut")
 {
     const auto linesOf = [](const std::string &response) {
--- a/tools/cyclamenturnd.cpp
+++ b/tools/cyclamenturnd.cpp
@@ -16,12 +16,14 @@
 #include "evidencecollector.h"
 #include "fleetkey.h"
 #include "gateway/gatewaysettings.h"
+#include "httpexchange.h"
 #include "journalwriter.h"
 #include "metrics.h"
 #include "servicedirectory.h"
 #include "settings.h"
 #include "storeclient.h"
 #include "transport/processresources.h"
+#include "transport/responsememory.h"
 #include "vmlistclient.h"
 
 #include <csignal>
@@ -197,6 +199,7 @@
 void run(const Settings &settings)
 {
     startLogging();
+    limitResponseMemory(ResponseMemory::capacityOf(static_cast<std::size_t>(settings.memoryMegabytes)));
     if (settings.role == Role::Entry) {
         runEntry(settings);
     } else {
