Tests: all endpoints of a gateway, and its store, send bytes without end

Checked for the report that a machine keeps such bytes until its memory is used up: a gateway doesn't. It serves on, and follows the list afterwards.

The former test with one endpoint now sends requests that differ, so that none of them is refused as one that crashes endpoints; its bound is the same.

--- a/test/error/processes_endless.py
+++ b/test/error/processes_endless.py
@@ -1,11 +1,15 @@
 #!/usr/bin/env python3
 """Tests of the gateway process before an endpoint that sends bytes without end, in a head, in a body or unasked."""
-import socket
+import http.client
+import itertools
+import json
+import os
 import sys
 import threading
 import time
 
-from gatewayfleet import Endpoint, Gateway, Store, chunk, configuration, eventually, route, run_tests, sealed_response
+from gatewayfleet import (Endpoint, Gateway, Store, chunk, configuration, eventually, read_request, route, run_tests,
+                          sealed_response)
 
 BUILD = sys.argv[1]
 ROUTES = [route("once", "desk", "non_idempotent", max_attempts=1, timeout_ms=4000),
@@ -16,6 +20,7 @@
 # A quarter of the smallest VM's memory for responses, as much again to send one on, and what the process needs itself.
 MAX_RESIDENT_MB = 64
 PIECE = b"x" * 65536
+MANY_ENDPOINTS = 24
 
 
 class Flood:
@@ -57,8 +62,8 @@
 
 
 class Fleet:
-    def __init__(self, script, others=0):
-        self.store, self.bad = Store(), Endpoint(script)
+    def __init__(self, script, others=0, store=None):
+        self.store, self.bad = store or Store(), Endpoint(script)
         self.good = [Endpoint(lambda connection, request: connection.sendall(sealed_response(request)))
                      for _ in range(others)]
         for i, endpoint in enumerate([self.bad] + self.good):
@@ -75,6 +80,36 @@
         for server in [self.store.server, self.bad.server] + [endpoint.server for endpoint in self.good]:
             server.close()
 
+    def call_at_once(self, route_names, count, rounds):
+        """Sends `count` requests at the same time, to the routes in turn, and that `rounds` times."""
+        def call(route_name):
+            try:
+                self.gateway.call("POST", f"/{route_name}/x", os.urandom(16).hex(), timeout=9)
+            except (OSError, http.client.HTTPException):
+                pass  # the caller's own timeout; the memory is what counts
+
+        for _ in range(rounds):
+            callers = [threading.Thread(target=call, args=(route_names[i % len(route_names)],)) for i in range(count)]
+            for caller in callers:
+                caller.start()
+            for caller in callers:
+                caller.join()
+
+    def peak_mb_during(self, action):
+        """The largest resident memory of the gateway during the action."""
+        peak, stop = [self.resident_mb()], threading.Event()
+
+        def watch():
+            while not stop.wait(0.02):
+                peak.append(self.resident_mb())
+
+        watcher = threading.Thread(target=watch)
+        watcher.start()
+        action()
+        stop.set()
+        watcher.join()
+        return max(peak)
+
     def resident_mb(self):
         with open(f"/proc/{self.gateway.process.pid}/status", encoding="utf-8") as status:
             return next(int(line.split()[1]) // 1024 for line in status if line.startswith("VmRSS"))
@@ -127,30 +162,65 @@
     slow = Flood(SEALED_HEAD + b"\r\n")
     with Fleet(slow) as fleet:
         before = fleet.resident_mb()
-        peak, stop = [before], threading.Event()
-
-        def watch():
-            while not stop.wait(0.02):
-                peak.append(fleet.resident_mb())
-
-        def call():
-            try:
-                fleet.gateway.call("POST", "/once/x", b"", timeout=9)
-            except (OSError, socket.timeout):
-                pass  # the caller's own timeout; the memory is what counts
-
-        watcher = threading.Thread(target=watch)
-        watcher.start()
-        for _ in range(3):
-            callers = [threading.Thread(target=call) for _ in range(48)]
-            for caller in callers:
-                caller.start()
-            for caller in callers:
-                caller.join()
-        stop.set()
-        watcher.join()
-        assert max(peak) <= MAX_RESIDENT_MB, f"{before} MB before, {max(peak)} MB at the peak"
+        peak = fleet.peak_mb_during(lambda: fleet.call_at_once(("once",), 48, rounds=3))
+        assert peak <= MAX_RESIDENT_MB, f"{before} MB before, {peak} MB at the peak"
+
+
+def memory_is_bounded_while_all_endpoints_send_without_end():
+    floods = itertools.cycle([Flood(first, piece) for _, first, piece in FLOODS.values()])
+    is_sound = threading.Event()
+
+    def respond(connection, request):
+        if is_sound.is_set():
+            return connection.sendall(sealed_response(request))
+        return next(floods)(connection, request)
+
+    with Fleet(respond) as fleet:
+        for i in range(MANY_ENDPOINTS):
+            fleet.good.append(Endpoint(respond))
+            fleet.store.put(f"servers/flooding-{i}", fleet.good[-1].registration("desk"))
+        time.sleep(1)  # for the list to arrive
+        peak = fleet.peak_mb_during(lambda: fleet.call_at_once(("once", "plain", "stream"), 60, rounds=3))
+        assert peak <= MAX_RESIDENT_MB, f"{peak} MB at the peak"
+        assert len([endpoint for endpoint in fleet.good if endpoint.requests]) > MANY_ENDPOINTS / 2
+        is_sound.set()
+        eventually(lambda: fleet.gateway.call("GET", "/plain/x")[0] == 200, "an answer afterwards", timeout_s=20)
+
+
+class FloodingStore(Store):
+    """A store that responds to all requests with the bytes of `flood`, while there is one."""
+
+    def __init__(self):
+        super().__init__()
+        self.flood, self.floods = None, 0
+
+    def serve(self, connection, stream):
+        while (request := read_request(stream)):
+            if self.flood is not None:
+                self.floods += 1
+                request.headers.setdefault("x-attempt-id", "")
+                self.flood(connection, request)
+                return
+            status, body = self.respond(request)
+            text = json.dumps(body).encode()
+            connection.sendall(b"HTTP/1.1 %d X\r\nStore-Era: 1\r\nContent-Length: %d\r\n\r\n" % (status, len(text)) + text)
+
+
+def memory_is_bounded_while_the_store_sends_without_end():
+    store = FloodingStore()
+    with Fleet(lambda connection, request: connection.sendall(sealed_response(request)), store=store) as fleet:
+        for what, (_, first, piece) in FLOODS.items():
+            store.floods, store.flood = 0, Flood(first, piece)
+            store.server.close_connections()
+            peak = fleet.peak_mb_during(lambda: eventually(lambda: store.floods > 3, f"calls of the store, {what}"))
+            assert peak <= MAX_RESIDENT_MB, f"{what}: {peak} MB at the peak"
+            assert fleet.gateway.call("GET", "/plain/x")[0] == 200, what
+        store.flood = None
+        desk = Endpoint(lambda connection, request: connection.sendall(sealed_response(request)))
+        fleet.good.append(desk)
+        store.put("servers/late", desk.registration("desk"))
+        eventually(lambda: fleet.gateway.call("GET", "/plain/x")[0] == 200 and desk.requests, "the list of the store")
 
 
 if __name__ == "__main__":
-    sys.exit(run_tests(("Fleet", "Flood"), sys.argv[2:]))
+    sys.exit(run_tests(("Fleet", "Flood", "FloodingStore"), sys.argv[2:]))
