A request's memory is free once its response has been sent

Callers of the own interface saw: one who sends the next request as soon as it has the response gets 503, because the memory of the request before counts until the handler's thread has ended and posted that.

Change: the network thread frees the account just before it sends the last part of the response.

--- a/src/transport/serverexchange.cpp
+++ b/src/transport/serverexchange.cpp
@@ -31,9 +31,10 @@
 class ServerExchange::Channel : public std::enable_shared_from_this<ServerExchange::Channel>
 {
 public:
-    Channel(CallbackQueue &callbackQueue, HttpServerConnectionPtr connection)
+    Channel(CallbackQueue &callbackQueue, HttpServerConnectionPtr connection, RequestMemory::Hold requestMemory)
         : m_callbackQueue(callbackQueue)
         , m_connection(std::move(connection))
+        , m_requestMemory(std::move(requestMemory))
     {
     }
 
@@ -53,6 +54,16 @@
         });
     }
 
+    /** Like post(), for an action that completes the response. The client may send its next request at once, which has
+     * to find room. */
+    void postLast(std::function<void(HttpServerConnection &)> action)
+    {
+        post([self = shared_from_this(), action = std::move(action)](HttpServerConnection &connection) {
+            self->m_requestMemory = {};
+            action(connection);
+        });
+    }
+
     void beginStream(HttpResponseHead head)
     {
         post([self = shared_from_this(), head = std::move(head)](HttpServerConnection &connection) {
@@ -114,6 +125,8 @@
 
     CallbackQueue &m_callbackQueue;
     HttpServerConnectionPtr m_connection;
+    /** Used by the network thread only. */
+    RequestMemory::Hold m_requestMemory;
     mutable std::mutex m_mutex;
     std::condition_variable m_changed;
     bool m_disconnected = false;
@@ -158,7 +171,7 @@
 ServerExchange::ServerExchange(
     CallbackQueue &callbackQueue, HttpServerConnectionPtr connection, ReceivedRequest request)
     : m_request(std::move(request))
-    , m_channel(std::make_shared<Channel>(callbackQueue, std::move(connection)))
+    , m_channel(std::make_shared<Channel>(callbackQueue, std::move(connection), std::move(m_request.hold)))
 {
     m_channel->registerDisconnectHandler();
     const std::string &target = m_request.head.target;
@@ -210,8 +223,8 @@
 
 void ServerExchange::reply(int status, const std::string &body, const std::string &contentType)
 {
-    m_channel->post([head = responseHead(status, contentType), body](
-                        HttpServerConnection &connection) { connection.sendResponse(head, body); });
+    m_channel->postLast([head = responseHead(status, contentType), body](
+                            HttpServerConnection &connection) { connection.sendResponse(head, body); });
 }
 
 std::ostream &ServerExchange::beginStream(int status, const std::string &contentType)
@@ -236,7 +249,7 @@
     }
     if (m_stream) {
         m_stream->flush();
-        m_channel->post([](HttpServerConnection &connection) { connection.endStream(); });
+        m_channel->postLast([](HttpServerConnection &connection) { connection.endStream(); });
     }
 }
 
--- a/test/error/client_limits.cpp
+++ b/test/error/client_limits.cpp
@@ -134,6 +134,24 @@
     }
 }
 
+// The next request of a client that had its response was refused until the handler's thread had ended.
+TEST_CASE("a request's memory is free once its response has been sent")
+{
+    const Address address{"127.0.0.1", 18496};
+    ThreadedHttpServer server(
+        address, THREADS,
+        [](ServerExchange &exchange) {
+            exchange.reply(OK, std::to_string(exchange.readBody(CAPACITY)->size()));
+            std::this_thread::sleep_for(milliseconds(100));
+        },
+        smallMemory());
+    Client client(address);
+    for (int i = 0; i < 5; ++i) {
+        client.sendBody(CAPACITY / 5, 0);
+        CHECK(client.receiveUntil("200000").find("HTTP/1.1 200") == 0);
+    }
+}
+
 TEST_CASE("requests behind one in progress are all served in their order")
 {
     const Address address{"127.0.0.1", 18493};
