Connections that give way are closed before more are accepted

Seen in processes_crowd_interface: 227 descriptors were open where 224 are allowed, with 300 idle connections before a server that may have 192.

Cause: a connection that gives way is destroyed by a timer, which the event loop runs only after the server has accepted all connections that wait.

Change: after a connection has given way, the server goes on accepting in the next iteration.

--- a/src/transport/httpserver.cpp
+++ b/src/transport/httpserver.cpp
@@ -111,7 +111,8 @@
     } catch (const Poco::Exception &) { // the client has reset the connection meanwhile
         return true;
     }
-    const bool hasRoom = m_connections.size() < m_limits.connections || makeRoomForConnection();
+    m_hasMadeRoom = m_connections.size() >= m_limits.connections;
+    const bool hasRoom = !m_hasMadeRoom || makeRoomForConnection();
     m_connections.emplace(connection.get(), connection);
     if (!hasRoom) {
         noteLimit("connections");
@@ -130,7 +131,8 @@
         if (!m_accepting) {
             return;
         }
-        if (!m_loop.hasTimeForMore()) {
+        // Timers close the connections that gave way, before the others that wait take more descriptors.
+        if (m_hasMadeRoom || !m_loop.hasTimeForMore()) {
             m_loop.keepWaiting(m_socket);
             return;
         }
--- a/src/transport/httpserver.h
+++ b/src/transport/httpserver.h
@@ -139,6 +139,8 @@
     HttpServerLimits m_limits;
     bool m_draining = false;
     bool m_accepting = true;
+    /** Whether the server was at its limit when it accepted the latest connection. */
+    bool m_hasMadeRoom = false;
     std::unordered_map<HttpServerConnection *, HttpServerConnectionPtr> m_connections;
 };
 
