--- a/src/gateway/partquarantine.cpp
+++ b/src/gateway/partquarantine.cpp
@@ -351,7 +351,7 @@
         }
     }
     for (const PartKey part : cleared) {
-        spare(part, m_suspects.count(part) != 0 ? PartAcquittal::Answered : PartAcquittal::Expired);
+        spare(part, m_suspects.count(part) != 0 ? SpareReason::Answered : SpareReason::Expired);
     }
     for (auto it = m_spared.begin(); it != m_spared.end();) {
         it = isNoCandidate(it->first) ? m_spared.erase(it) : std::next(it);
@@ -365,7 +365,7 @@
         const bool isKnown = m_verdicts.count(part) != 0;
         std::vector<PartCrash> counted = unansweredCrashes(part, m_suspects[part]);
         if (isKnown && !isQuarantineKept(part, counted)) {
-            spare(part, PartAcquittal::OtherCause);
+            spare(part, SpareReason::OtherCause);
             continue;
         }
         if (!isKnown) {
@@ -376,22 +376,22 @@
             if (countCrashes(counted) < CRASH_LIMIT) {
                 continue;
             }
-            const auto isExcused = [&](const PartCrash &crash) {
+            const auto isCausedElsewhere = [&](const PartCrash &crash) {
                 return hasOtherCause(crash);
             };
-            counted.erase(std::remove_if(counted.begin(), counted.end(), isExcused), counted.end());
+            counted.erase(std::remove_if(counted.begin(), counted.end(), isCausedElsewhere), counted.end());
         }
         const int count = countCrashes(counted);
         if (count < CRASH_LIMIT) {
-            spare(part, PartAcquittal::OtherCause);
+            spare(part, SpareReason::OtherCause);
             continue;
         }
         if (counted.back().at + QUARANTINE_TIME <= now) {
-            spare(part, PartAcquittal::Expired);
+            spare(part, SpareReason::Expired);
             continue;
         }
         if (!isKnown && !isServiceWorking(part, counted.front().at)) {
-            spare(part, PartAcquittal::TooFewOtherAnswers);
+            spare(part, SpareReason::TooFewOtherAnswers);
             continue;
         }
         m_spared.erase(part);
@@ -406,7 +406,7 @@
     }
 }
 
-void PartQuarantine::spare(PartKey part, PartAcquittal reason)
+void PartQuarantine::spare(PartKey part, SpareReason reason)
 {
     const bool wasQuarantined = m_verdicts.erase(part) != 0;
     const auto [known, isNew] = m_spared.try_emplace(part, reason);
--- a/src/gateway/partquarantine.h
+++ b/src/gateway/partquarantine.h
@@ -33,7 +33,7 @@
 };
 
 /** Why a part with many crashes isn't refused. */
-enum class PartAcquittal {
+enum class SpareReason {
     /** Another part explains its crashes. */
     OtherCause,
     /** It is a first part, and too few other prompts have been answered since its first crash. */
@@ -50,7 +50,7 @@
     PartKey part = 0;
     /** Crashes since its last answer. */
     int crashes = 0;
-    PartAcquittal reason = PartAcquittal::OtherCause;
+    SpareReason reason = SpareReason::OtherCause;
     /** Whether it was refused until now. */
     bool wasQuarantined = false;
     /** Whether any answer to a prompt with it is known. */
@@ -191,7 +191,7 @@
     void update(TimePoint now);
     void judge(TimePoint now);
     /** Ends the quarantine of a part, if there is one, and notes why it isn't refused. */
-    void spare(PartKey part, PartAcquittal reason);
+    void spare(PartKey part, SpareReason reason);
     /** Drops one crash of a suspect that has too many. */
     void thinOut(PartKey part, std::vector<PartCrash> &crashes) const;
     /** Whether `part` is still to be refused: answers and more likely parts that were found meanwhile speak for it,
@@ -227,7 +227,7 @@
     std::unordered_map<PartKey, Quarantine> m_verdicts;
     std::vector<PartVerdict> m_newVerdicts;
     /** The latest reason of each part with enough crashes that isn't refused. */
-    std::unordered_map<PartKey, PartAcquittal> m_spared;
+    std::unordered_map<PartKey, SpareReason> m_spared;
     std::vector<SparedPart> m_newlySpared;
     boost::circular_buffer<PartCrash> m_ownReports{MAX_OWN_REPORTS};
     /** The latest crash of each endpoint, by the hash of its incarnation; at most MAX_CRASHED_ENDPOINTS. */
--- a/src/gateway/partwatch.cpp
+++ b/src/gateway/partwatch.cpp
@@ -20,16 +20,16 @@
 /** Evidence that is no longer fresh goes along with every this many rounds of digests. */
 constexpr std::size_t ROUNDS_PER_REPEAT = 4;
 
-const char *nameOf(PartAcquittal reason)
+const char *nameOf(SpareReason reason)
 {
     switch (reason) {
-    case PartAcquittal::OtherCause:
+    case SpareReason::OtherCause:
         return "other_cause";
-    case PartAcquittal::TooFewOtherAnswers:
+    case SpareReason::TooFewOtherAnswers:
         return "too_few_other_answers";
-    case PartAcquittal::Answered:
+    case SpareReason::Answered:
         return "answered";
-    case PartAcquittal::Expired:
+    case SpareReason::Expired:
         return "expired";
     }
     return "unknown";
--- a/src/httpexchange.cpp
+++ b/src/httpexchange.cpp
@@ -85,12 +85,12 @@
         m_socket.setSendTimeout(timespan(timeout));
     }
 
-    /** Whether the connection may be used for another request: the response before is complete, and the server has
-     * neither closed the connection nor sent more. */
+    /** Whether the connection may be used for another request: the one before was received and answered completely, and
+     * the server has neither closed the connection nor sent more. */
     bool isReusable()
     {
         return !m_parser
-            || (m_parser->isDone() && m_parser->isKeepAlive() && m_input.empty()
+            || (m_parser->isDone() && m_parser->isKeepAlive() && m_input.empty() && unacknowledgedBytes(m_socket) == 0
                 && !m_socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ));
     }
 
