--- a/review/testbed3.py
+++ b/review/testbed3.py
@@ -26,7 +26,7 @@
 BOUNDS = {"stable_ms": 3000, "ack_ms": 4000, "drain_ms": 2000, "grace_s": 8, "config_apply_ms": 2000,
           "rollback_slack_ms": 250, "retry_budget_ratio": 0.2, "budget_window_s": 10, "budget_slack": 108}
 HEARTBEAT_S = 1.2
-READY_TIMEOUT_S = 15
+READY_TIMEOUT_S = 25
 CALLERS_PORT, CONTROL_PORT, READINESS_PORT, INTERNAL_PORT = 8740, 8748, 8749, 7200
 
 
